Hand an answer on only when all that came with it is read

Bytes behind an answer (a second answer, or the beginning of one) were decoded in the same read in which the module sends its next attempt over that very connection, and so became the answer to that attempt.

A test has the waiting request sent from within that read: it was given the first request's second copy.

Netty's client codec pairs answers with methods; only GET and POST are sent, so its two halves serve and the decoder can tell if it is empty.

--- a/src/main/java/beechfall/proxy/Backends.java
+++ b/src/main/java/beechfall/proxy/Backends.java
@@ -16,10 +16,11 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -147,8 +148,10 @@
                 @Override
                 public void channelCreated(Channel channel) {
                     sockets.backendOpened(channel);
-                    channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_BODY),
-                            new IdleStateHandler(0, 0, idleUs, TimeUnit.MICROSECONDS), new Connection(Target.this));
+                    var decoder = new Decoder();
+                    channel.pipeline().addLast(decoder, new HttpRequestEncoder(), new HttpObjectAggregator(MAX_BODY),
+                            new IdleStateHandler(0, 0, idleUs, TimeUnit.MICROSECONDS),
+                            new Connection(Target.this, decoder));
                 }
             });
         }
@@ -299,6 +302,8 @@
             if (!ended) {
                 ended = true;
                 report(outcome, answer);
+            } else if (answer != null) {
+                answer.body().release();
             }
         }
 
@@ -309,13 +314,25 @@
         }
     }
 
+    /** Netty's decoder; only requests that an answer may have a body for are ever sent, so it need not know them. */
+    private static final class Decoder extends HttpResponseDecoder {
+        /** Returns whether all that has come is decoded. */
+        boolean isEmpty() {
+            return actualReadableBytes() == 0;
+        }
+    }
+
     /** The reading side of a connection to a backend. */
     private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
         private final Target target;
+        private final Decoder decoder;
         private Attempt attempt;
+        /** The answer that the read under way has brought, until that read is over. */
+        private FullHttpResponse answer;
 
-        Connection(Target target) {
+        Connection(Target target, Decoder decoder) {
             this.target = target;
+            this.decoder = decoder;
         }
 
         @Override
@@ -323,22 +340,46 @@
             if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
                 return;
             }
-            Attempt a = attempt;
-            attempt = null;
-            if (a == null) {
+            if (attempt == null || answer != null) {
                 // An answer that nobody has asked for: what comes next on this connection can't be trusted.
                 ctx.close();
+            } else {
+                answer = response.retain();
+            }
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
+            settle(ctx);
+            super.channelReadComplete(ctx);
+        }
+
+        /**
+         * Hands the answer on, only now that all that came with it is read: the next attempt may take this very
+         * connection, and would be given whatever the backend has sent behind the answer.
+         */
+        private void settle(ChannelHandlerContext ctx) {
+            if (answer == null) {
                 return;
             }
-            boolean sound = response.decoderResult().isSuccess();
-            // Back into the pool before the module hears: what it sends next may take this very connection.
-            if (sound && a.written && HttpUtil.isKeepAlive(response) && target.ready) {
-                target.pool.release(ctx.channel());
-            } else {
-                ctx.close();
+            FullHttpResponse response = answer;
+            Attempt a = attempt;
+            answer = null;
+            attempt = null;
+            try {
+                boolean sound = response.decoderResult().isSuccess();
+                // Back into the pool before the module hears: what it sends next may take this very connection.
+                if (sound && a.written && HttpUtil.isKeepAlive(response) && target.ready && ctx.channel().isActive()
+                        && decoder.isEmpty()) {
+                    target.pool.release(ctx.channel());
+                } else {
+                    ctx.close();
+                }
+                Outcome outcome = outcome(response, sound);
+                a.end(outcome, outcome == Outcome.OK ? new Answer(response.headers(), response.content().retain()) : null);
+            } finally {
+                response.release();
             }
-            Outcome outcome = outcome(response, sound);
-            a.end(outcome, outcome == Outcome.OK ? new Answer(response.headers(), response.content().retain()) : null);
         }
 
         private Outcome outcome(FullHttpResponse response, boolean sound) {
@@ -354,6 +395,7 @@
         @Override
         public void channelInactive(ChannelHandlerContext ctx) throws Exception {
             target.pool.closed(ctx.channel());
+            settle(ctx);
             if (attempt != null) {
                 Attempt a = attempt;
                 attempt = null;
@@ -373,7 +415,7 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             // An answer too long to pass on is an answer all the same; anything else is a break of the connection.
-            if (cause instanceof TooLongHttpContentException && attempt != null) {
+            if (cause instanceof TooLongHttpContentException && attempt != null && answer == null) {
                 Attempt a = attempt;
                 attempt = null;
                 ctx.close();
--- a/src/test/java/beechfall/proxy/BackendsTest.java
+++ b/src/test/java/beechfall/proxy/BackendsTest.java
@@ -4,6 +4,7 @@
 
 import beechfall.Balancer.Arrival;
 import beechfall.Balancer.AttemptEnded;
+import beechfall.Balancer.Fail;
 import beechfall.Balancer.Outcome;
 import beechfall.Balancer.Release;
 import beechfall.Balancer.Send;
@@ -15,9 +16,11 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.BlockingQueue;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** What becomes of an attempt: rule 2 rests on 'never ran' being said only where that is certain. */
 class BackendsTest {
@@ -91,6 +94,36 @@
         }
     }
 
+    /**
+     * A request that waits for the answer before it is sent on that very connection, within the same read: what the
+     * backend has sent behind that answer must not become the answer to it.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmade", "HTTP/1.1 200 OK\r\nConte", "made"})
+    void whatComesBehindAnAnswerIsNotTakenForThatOfAWaitingRequest(String behind) throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture((event, actions) -> {
+            boolean first = event instanceof Arrival a && a.id().equals("r1");
+            if (first || event instanceof AttemptEnded e && e.id().equals("r1")) {
+                actions.accept(new Send(first ? "r1" : "r2", "s0", 0));
+            } else if (event instanceof AttemptEnded e && !e.last()) {
+                actions.accept(new Fail(e.id()));
+            }
+        }, backend); var one = proxy.client(); var two = proxy.client()) {
+            one.send(Fixture.get("r1"));
+            Wire first = backend.accept();
+            first.read();
+            proxy.next(Arrival.class);
+            two.send(Fixture.get("r2"));
+            proxy.next(Arrival.class);
+            first.send(Peer.ok("one") + behind);
+            assertThat(one.read().body()).isEqualTo("one");
+            BlockingQueue<Wire.Message> seen = backend.always(Peer.ok("two"));
+            assertThat(two.read().body()).isEqualTo("two");
+            assertThat(Peer.next(seen).header("X-Request-ID")).isEqualTo("r2");
+            assertThat(first.ended()).isTrue();
+        }
+    }
+
     @Test
     void anAnswerTooLongIsAnError() throws Exception {
         try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
