Read a tile server's answer as strictly as HTTP/1.1 is defined

Netty takes a header line without a colon (no colon here) for a header with an empty value, any version for HTTP/1, and waits behind a 101. Such answers count as failed attempts; the proxy passed them on as served.

--- a/src/main/java/beechfall/proxy/Backends.java
+++ b/src/main/java/beechfall/proxy/Backends.java
@@ -21,12 +21,14 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.TooLongHttpContentException;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.AsciiString;
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.Promise;
 import java.net.InetSocketAddress;
@@ -316,6 +318,19 @@
 
     /** Netty's decoder; only requests that an answer may have a body for are ever sent, so it need not know them. */
     private static final class Decoder extends HttpResponseDecoder {
+        /** Netty takes a line like {@code no colon here} for a header named {@code no}; here it makes no answer. */
+        @Override
+        protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+            int end = start + length;
+            while (end < line.length && (line[end] == ' ' || line[end] == '\t')) {
+                end++;
+            }
+            if (end == line.length || line[end] != ':') {
+                throw new IllegalArgumentException("a header line without a colon");
+            }
+            return super.splitHeaderName(line, start, length);
+        }
+
         /** Returns whether all that has come is decoded. */
         boolean isEmpty() {
             return actualReadableBytes() == 0;
@@ -337,7 +352,7 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
-            if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL && readable(response)) {
                 return;
             }
             if (attempt == null || answer != null) {
@@ -367,7 +382,7 @@
             answer = null;
             attempt = null;
             try {
-                boolean sound = response.decoderResult().isSuccess();
+                boolean sound = readable(response);
                 // Back into the pool before the module hears: what it sends next may take this very connection.
                 if (sound && a.written && HttpUtil.isKeepAlive(response) && target.ready && ctx.channel().isActive()
                         && decoder.isEmpty()) {
@@ -382,6 +397,12 @@
             }
         }
 
+        /** Nobody has asked for another protocol, and what follows an agreement to one is no answer of HTTP/1. */
+        private static boolean readable(FullHttpResponse response) {
+            return response.decoderResult().isSuccess() && response.protocolVersion().majorVersion() == 1
+                    && !response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
+        }
+
         private Outcome outcome(FullHttpResponse response, boolean sound) {
             int status = response.status().code();
             if (sound && status == 200) {
--- a/src/test/java/beechfall/proxy/BackendsTest.java
+++ b/src/test/java/beechfall/proxy/BackendsTest.java
@@ -64,19 +64,38 @@
     }
 
     /** Something came back, so it may have run; and nothing that follows on that connection is taken for an answer. */
-    @Test
-    void rubbishIsAnErrorAndEndsTheConnection() throws Exception {
+    @ParameterizedTest
+    @ValueSource(strings = {"rubbish\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 4\r\n\r\nmade",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nmade\r\n0\r\nno colon here\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nmade\r\nzz\r\nmade\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 4\r\n\r\nmade",
+        "HTTP/1.1 2x0 OK\r\nContent-Length: 4\r\n\r\nmade",
+        "HTTP/2.7 200 OK\r\nContent-Length: 4\r\n\r\nmade",
+        "HTTP/1.1 101 Other\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\n"})
+    void rubbishIsAnErrorAndEndsTheConnection(String rubbish) throws Exception {
         try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
             client.send(Fixture.get("r1"));
             Wire attempt = backend.accept();
             attempt.read();
-            attempt.send("rubbish\r\n\r\n" + Peer.ok("not asked for"));
+            attempt.send(rubbish + Peer.ok("not asked for"));
             assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(Outcome.ERROR);
             assertThat(client.read().status()).isEqualTo(502);
             assertThat(attempt.ended()).isTrue();
         }
     }
 
+    /** RFC 9112, 5.1, has a proxy take the space away; and what only announces an answer is none yet. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nmade",
+        "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmade"})
+    void anOddAnswerThatCanBeReadIsPassedOn(String odd) throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+            backend.always(odd);
+            assertThat(client.send(Fixture.get("r1")).read().body()).isEqualTo("made");
+        }
+    }
+
     @Test
     void anAnswerBehindAnAnswerIsNotTakenForTheNext() throws Exception {
         try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
