Run the code of a request until it is compiled before saying ready

The first clients met a cold JVM on half a core: everything interpreted, two compiler threads beside it. The accept queues grew to 1,025, and by the time a client was accepted it had given up, so the half core went to the departed.

How it shows, watching the threads, the accept queues and stacks of a node every 250 ms: 0.5 of a core used from start to 7 s at one node and 9 s at the other, a quarter of it by the compiler; then under 0.2 for the same traffic. Eight stacks of the event loop had eight different places on top, so no one piece of code is slow. Not the backends: 0.06 to 0.12 attempts a request.

A second proxy on sockets in $TMPDIR serves 1,500 made-up requests first; no other party is reached, and only the log and the wait remain of it.

--- a/src/main/java/beechfall/proxy/Backends.java
+++ b/src/main/java/beechfall/proxy/Backends.java
@@ -13,7 +13,6 @@
 import io.netty.channel.pool.AbstractChannelPoolHandler;
 import io.netty.channel.pool.ChannelPoolHandler;
 import io.netty.channel.pool.SimpleChannelPool;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -31,7 +30,7 @@
 import io.netty.util.AsciiString;
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.Promise;
-import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -57,7 +56,7 @@
     record Answer(HttpHeaders headers, ByteBuf body) { }
 
     /** A line of the list, and where this proxy finds that backend. */
-    record Listed(Balancer.Backend backend, InetSocketAddress address) { }
+    record Listed(Balancer.Backend backend, SocketAddress address) { }
 
     /** Hears the one end of an attempt; {@code answer} is there for {@link Outcome#OK} alone. */
     interface End {
@@ -71,13 +70,14 @@
     private final long idleUs;
     private final Map<String, Target> targets = new HashMap<>();
 
-    Backends(Clock clock, EventLoop loop, Sockets sockets, long connIdleUs, long connectTimeoutUs) {
+    Backends(Clock clock, EventLoop loop, Class<? extends Channel> transport, Sockets sockets, long connIdleUs,
+            long connectTimeoutUs) {
         this.clock = clock;
         this.loop = loop;
         this.sockets = sockets;
         // Well before the backend does: a request that crosses its close ends as a reset, and may have run.
         this.idleUs = connIdleUs * 3 / 5;
-        this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        this.bootstrap = new Bootstrap().group(loop).channel(transport)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutUs / 1_000));
     }
 
@@ -139,12 +139,12 @@
 
     /** One backend. */
     private final class Target {
-        private final InetSocketAddress address;
+        private final SocketAddress address;
         private final Pool pool;
         private final Set<Attempt> out = new LinkedHashSet<>();
         private boolean ready;
 
-        Target(InetSocketAddress address) {
+        Target(SocketAddress address) {
             this.address = address;
             this.pool = new Pool(bootstrap.clone().remoteAddress(address), new AbstractChannelPoolHandler() {
                 @Override
--- a/src/main/java/beechfall/proxy/Frontend.java
+++ b/src/main/java/beechfall/proxy/Frontend.java
@@ -12,10 +12,10 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.ServerChannel;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -32,7 +32,7 @@
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
 import java.io.IOException;
-import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.HashMap;
@@ -83,13 +83,13 @@
         settings.tenants().forEach(t -> tenants.add(t.name()));
     }
 
-    ChannelFuture listen(EventLoop loop, InetSocketAddress address) {
+    ChannelFuture listen(EventLoop loop, Class<? extends ServerChannel> transport, SocketAddress address) {
         beatAt = clock.now();
         loop.scheduleWithFixedDelay(this::beat, BEAT_US, BEAT_US, TimeUnit.MICROSECONDS);
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        ChannelFuture bound = new ServerBootstrap().group(loop).channel(transport)
                 // One at a time: each that is accepted counts before the next is.
                 .option(ChannelOption.RECVBUF_ALLOCATOR, new ServerChannelRecvByteBufAllocator())
-                .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -245,7 +245,7 @@
         private void hangUp() {
             HttpUtil.setKeepAlive(parting, false);
             channel.writeAndFlush(parting).addListener(f -> {
-                ((SocketChannel) channel).shutdownOutput();
+                ((DuplexChannel) channel).shutdownOutput();
                 channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
             });
         }
--- a/src/main/java/beechfall/proxy/Serve.java
+++ b/src/main/java/beechfall/proxy/Serve.java
@@ -6,6 +6,8 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
@@ -37,7 +39,7 @@
         var clock = new Clock();
         var settings = config.settings();
         var sockets = new Sockets(config.sockets());
-        var backends = new Backends(clock, loop, sockets, config.connIdleUs(), config.connectTimeoutUs());
+        var backends = new Backends(clock, loop, NioSocketChannel.class, sockets, config.connIdleUs(), config.connectTimeoutUs());
         proxy = new Proxy(clock, loop, log, settings, module, backends);
         discovery = new Discovery(loop, log, proxy, config.discovery(), settings);
         proxy.discovery(discovery);
@@ -55,7 +57,10 @@
             if (file == null || file.isEmpty()) {
                 throw new Config.BadConfig("PROXY_CONFIG is not set");
             }
-            var serve = new Serve(Config.read(Path.of(file)));
+            Config config = Config.read(Path.of(file));
+            int served = Warmup.run(config.settings(), Warmup.MOST_MS);
+            var serve = new Serve(config);
+            serve.log.line("warmed up with " + served + " made-up requests");
             serve.start();
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 serve.drain();
@@ -71,7 +76,7 @@
     /** Begins to serve; returns the address. */
     InetSocketAddress start() throws Config.BadConfig {
         loop.execute(() -> discovery.known(config.known()));
-        ChannelFuture bound = frontend.listen(loop, config.listen()).awaitUninterruptibly();
+        ChannelFuture bound = frontend.listen(loop, NioServerSocketChannel.class, config.listen()).awaitUninterruptibly();
         if (!bound.isSuccess()) {
             throw new Config.BadConfig("'listen': " + bound.cause().getMessage());
         }
