Read the configuration again on SIGHUP and follow discovery to its new place

Nothing listened for SIGHUP, so the JDK's own handler ended the process. Now the file is read again, the watch at the old address ends, and the new address is asked for the whole list; a file that is no good changes nothing.

--- a/src/main/java/beechfall/proxy/Discovery.java
+++ b/src/main/java/beechfall/proxy/Discovery.java
@@ -53,10 +53,11 @@
     private final EventLoop loop;
     private final Log log;
     private final Proxy proxy;
-    private final InetSocketAddress address;
     private final boolean pushed;
     private final long holdMs;
     private final SplittableRandom random;
+    private InetSocketAddress address;
+    private boolean wanted;
     private Call watch;
     private long version = -1;
     private boolean heard;
@@ -90,6 +91,7 @@
 
     /** Begins the watch, or ends it. One that goes on already is left alone. */
     void watch(boolean on) {
+        wanted = on;
         if (!on && watch != null) {
             watch.end();
             watch = null;
@@ -99,6 +101,21 @@
         }
     }
 
+    /**
+     * Goes on at another address. The old one is about to hang up, so the watch there is ended; the new one is asked
+     * for the whole list, whatever the old one has told.
+     */
+    void moveTo(InetSocketAddress place) {
+        if (place.equals(address)) {
+            return;
+        }
+        address = place;
+        version = -1;
+        boolean on = wanted;
+        watch(false);
+        watch(on);
+    }
+
     /** Asks for the whole list, once. */
     void fetch() {
         new Call(false, 0);
--- a/src/main/java/beechfall/proxy/Serve.java
+++ b/src/main/java/beechfall/proxy/Serve.java
@@ -62,6 +62,7 @@
             var serve = new Serve(config);
             serve.log.line("warmed up with " + served + " made-up requests");
             serve.start();
+            Signals.handle("HUP", () -> serve.reconfigure(Path.of(file)));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 serve.drain();
                 // All is answered and nothing is left to be tidied up.
@@ -85,6 +86,19 @@
         return address;
     }
 
+    /** Takes over what may change while the proxy runs: where discovery is. A file that is no good changes nothing. */
+    void reconfigure(Path file) {
+        loop.execute(() -> {
+            try {
+                InetSocketAddress place = Config.read(file).discovery();
+                log.line(config.name() + ": told of discovery at " + place);
+                discovery.moveTo(place);
+            } catch (Config.BadConfig e) {
+                log.line(config.name() + ": bad configuration, the old one stays: " + e.getMessage());
+            }
+        });
+    }
+
     /** Answers all that is taken, sends the clients elsewhere, and ends the process in time. */
     void drain() {
         long longestMs = config.settings().classes().stream().mapToLong(c -> c.deadlineUs()).max().orElse(0) / 1_000;
--- a/src/test/java/beechfall/proxy/DiscoveryTest.java
+++ b/src/test/java/beechfall/proxy/DiscoveryTest.java
@@ -9,8 +9,12 @@
 import beechfall.Balancer.Members;
 import beechfall.Balancer.State;
 import beechfall.Balancer.Watch;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -144,4 +148,52 @@
             assertThat(proxy.next(Members.class).kind()).isEqualTo(ListKind.FULL);
         }
     }
+
+    /** The watch at the old place is over at once, and what is asked at the new one is not a change but all there is. */
+    @Test
+    void followsDiscoveryToItsNewAddress(@TempDir Path dir) throws Exception {
+        try (var backend = new Peer(); var moved = new Peer(); var proxy = new Fixture(watcher(), backend)) {
+            proxy.next(Members.class);
+            Wire old = proxy.discovery.accept();
+            old.read();
+            ObjectNode config = Fixture.config().put("discovery", moved.address());
+            proxy.reconfigure(Files.writeString(dir.resolve("config.json"), config.toString()));
+            Wire call = moved.accept();
+            assertThat(call.read().first()).isEqualTo("GET /v1/endpoints HTTP/1.1");
+            assertThat(old.ended()).isTrue();
+            call.send(Peer.ok(Fixture.list(3, true, Fixture.entry("s1", "127.0.0.1:1", "ready"))));
+            Members news = proxy.next(Members.class);
+            assertThat(news.kind()).isEqualTo(ListKind.FULL);
+            assertThat(news.backends()).extracting(Backend::id).containsExactly("s1");
+            assertThat(moved.accept().read().first()).contains("from=3&");
+        }
+    }
+
+    @Test
+    void aConfigurationThatIsNoGoodChangesNothing(@TempDir Path dir) throws Exception {
+        try (var proxy = new Fixture(watcher())) {
+            proxy.next(Members.class);
+            Wire call = proxy.discovery.accept();
+            call.read();
+            proxy.reconfigure(dir.resolve("none"));
+            proxy.reconfigure(Files.writeString(dir.resolve("half"), "{\"name\":"));
+            call.send(Peer.ok(Fixture.list(42, true)));
+            assertThat(proxy.next(Members.class).kind()).isEqualTo(ListKind.FULL);
+        }
+    }
+
+    /** SIGHUP, which ends a JVM that does not listen for it, only has the configuration read again. */
+    @Test
+    void readsTheConfigurationAgainOnSighup(@TempDir Path dir) throws Exception {
+        try (var first = new Peer(); var second = new Peer();
+                var program = new Program(dir, Fixture.config().put("discovery", first.address()))) {
+            Wire call = first.accept();
+            call.read();
+            program.line("listening");
+            program.configure(Fixture.config().put("discovery", second.address()));
+            program.signal("HUP");
+            assertThat(second.accept().read().first()).isEqualTo("GET /v1/endpoints HTTP/1.1");
+            assertThat(program.ended()).isFalse();
+        }
+    }
 }
--- a/src/test/java/beechfall/proxy/Fixture.java
+++ b/src/test/java/beechfall/proxy/Fixture.java
@@ -8,6 +8,7 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.function.Consumer;
@@ -127,6 +128,10 @@
         }
     }
 
+    void reconfigure(Path file) {
+        serve.reconfigure(file);
+    }
+
     void drain() {
         serve.drain();
     }
--- /dev/null
+++ b/src/test/java/beechfall/proxy/Program.java
@@ -0,0 +1,49 @@
+package beechfall.proxy;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.BufferedReader;
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+
+/** The program as {@code run} starts it, in a process of its own. */
+final class Program implements Closeable {
+    private final Path file;
+    private final Process process;
+    final BufferedReader log;
+
+    /** Starts it with a folder of its own, which holds its configuration and whatever it leaves there. */
+    Program(Path dir, ObjectNode config) throws IOException {
+        file = dir.resolve("config.json");
+        configure(config);
+        var command = new ProcessBuilder(ProcessHandle.current().info().command().orElseThrow(), "-Djava.io.tmpdir=" + dir,
+                "-cp", System.getProperty("java.class.path"), "beechfall.Main", "serve").redirectErrorStream(true);
+        command.environment().put("PROXY_CONFIG", file.toString());
+        process = command.start();
+        log = process.inputReader();
+    }
+
+    void configure(ObjectNode config) throws IOException {
+        Files.writeString(file, config.toString());
+    }
+
+    /** Waits for a line of its log; returns it, or null if the program has ended without it. */
+    String line(String part) {
+        return log.lines().filter(l -> l.contains(part)).findFirst().orElse(null);
+    }
+
+    void signal(String name) throws Exception {
+        new ProcessBuilder("sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor();
+    }
+
+    boolean ended() throws InterruptedException {
+        return process.waitFor(0, TimeUnit.SECONDS);
+    }
+
+    @Override
+    public void close() {
+        process.destroyForcibly().onExit().join();
+    }
+}
--- a/src/test/java/beechfall/proxy/WarmupTest.java
+++ b/src/test/java/beechfall/proxy/WarmupTest.java
@@ -19,19 +19,12 @@
     /** The program as it is started: what it says first is how it was warmed up, and only then does it listen. */
     @Test
     void listensOnlyOnceItIsWarm(@TempDir Path dir) throws Exception {
-        Path file = Files.writeString(dir.resolve("config.json"), Fixture.config().toString());
-        var command = new ProcessBuilder(ProcessHandle.current().info().command().orElseThrow(), "-Djava.io.tmpdir=" + dir,
-                "-cp", System.getProperty("java.class.path"), "beechfall.Main", "serve").redirectErrorStream(true);
-        command.environment().put("PROXY_CONFIG", file.toString());
-        Process process = command.start();
-        try (var log = process.inputReader()) {
-            assertThat(log.readLine()).matches("warmed up with [1-9]\\d* made-up requests");
-            assertThat(log.lines().filter(l -> l.startsWith("n0: ")).findFirst()).get().asString().contains("listening");
+        try (var program = new Program(dir, Fixture.config())) {
+            assertThat(program.log.readLine()).matches("warmed up with [1-9]\\d* made-up requests");
+            assertThat(program.line("listening")).startsWith("n0: ");
             try (var left = Files.list(dir)) {
-                assertThat(left).containsExactly(file);
+                assertThat(left).containsExactly(dir.resolve("config.json"));
             }
-        } finally {
-            process.destroyForcibly().waitFor();
         }
     }
 }
