Start from an archive of classes that the build makes, and rehearse less

A start took 6.8 s on half a core, and while the only proxy restarts nobody is served. Two parts of that need not be: loading and verifying some 3,000 classes, 1,900 of them from the jar, which an archive now holds ready, and 1,500 made-up requests where a method is compiled after 200 runs: 250 do.

--- a/src/main/java/beechfall/Main.java
+++ b/src/main/java/beechfall/Main.java
@@ -3,12 +3,15 @@
 import beechfall.proxy.Serve;
 import java.io.IOException;
 
-/** The command line: {@code serve} runs one real proxy, {@code drill} the module on the simulator's wire. */
+/**
+ * The command line: {@code serve} runs one real proxy, {@code drill} the module on the simulator's wire, and
+ * {@code rehearse} has the build see which classes a proxy loads.
+ */
 public final class Main {
     private Main() { }
 
     /**
-     * Runs one of the two commands.
+     * Runs one of the commands.
      *
      * @param args one word, the command
      * @throws IOException if standard input or output of {@code drill} fails
@@ -17,9 +20,10 @@
         String command = args.length == 1 ? args[0] : "";
         switch (command) {
             case "serve" -> Serve.main(args);
+            case "rehearse" -> Serve.rehearse();
             case "drill" -> beechfall.wire.Main.main(args);
             default -> {
-                System.err.println("usage: java -jar beechfall.jar serve|drill");
+                System.err.println("usage: java -jar beechfall.jar serve|drill|rehearse");
                 System.exit(2);
             }
         }
--- a/src/main/java/beechfall/proxy/Serve.java
+++ b/src/main/java/beechfall/proxy/Serve.java
@@ -52,28 +52,53 @@
      * @param args not used: all that a proxy is told stands in the file that {@code PROXY_CONFIG} names
      */
     public static void main(String[] args) {
-        String file = System.getenv("PROXY_CONFIG");
         try {
-            if (file == null || file.isEmpty()) {
-                throw new Config.BadConfig("PROXY_CONFIG is not set");
-            }
-            Config config = Config.read(Path.of(file));
-            int served = Warmup.run(config.settings(), Warmup.MOST_MS);
-            var serve = new Serve(config);
-            serve.log.line("warmed up with " + served + " made-up requests");
+            Path file = file();
+            Serve serve = warm(file);
             serve.start();
-            Signals.handle("HUP", () -> serve.reconfigure(Path.of(file)));
+            Signals.handle("HUP", () -> serve.reconfigure(file));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 serve.drain();
                 // All is answered and nothing is left to be tidied up.
                 Runtime.getRuntime().halt(0);
             }, "drain"));
         } catch (Config.BadConfig e) {
-            System.err.println("bad configuration: " + e.getMessage());
-            System.exit(2);
+            exit(e);
+        }
+    }
+
+    /** Does all that a proxy does up to its first client, and ends: for the archive of classes that the build makes. */
+    public static void rehearse() {
+        try {
+            Serve serve = warm(file());
+            serve.start();
+            serve.stop();
+        } catch (Config.BadConfig e) {
+            exit(e);
         }
     }
 
+    private static Path file() throws Config.BadConfig {
+        String file = System.getenv("PROXY_CONFIG");
+        if (file == null || file.isEmpty()) {
+            throw new Config.BadConfig("PROXY_CONFIG is not set");
+        }
+        return Path.of(file);
+    }
+
+    private static Serve warm(Path file) throws Config.BadConfig {
+        Config config = Config.read(file);
+        int served = Warmup.run(config.settings(), Warmup.MOST_MS);
+        var serve = new Serve(config);
+        serve.log.line("warmed up with " + served + " made-up requests");
+        return serve;
+    }
+
+    private static void exit(Config.BadConfig e) {
+        System.err.println("bad configuration: " + e.getMessage());
+        System.exit(2);
+    }
+
     /** Begins to serve; returns the address. */
     InetSocketAddress start() throws Config.BadConfig {
         loop.execute(() -> discovery.known(config.known()));
--- a/src/main/java/beechfall/proxy/Warmup.java
+++ b/src/main/java/beechfall/proxy/Warmup.java
@@ -44,7 +44,7 @@
  */
 final class Warmup {
     /** A method is compiled once it has run 200 times, and some run for a part of the requests only. */
-    static final int REQUESTS = 1_500;
+    static final int REQUESTS = 250;
     /** Ready late is better than ready cold, but not by much. */
     static final long MOST_MS = 6_000;
     private static final int CLIENTS = 6;
