Read the cost hint and count a server's room in work, not in attempts

Each request carries a guess at its cost, and neither the network code nor the adapter passed it on: a server with one request of twenty times the usual work counted as one attempt out and was given its full share beside it.

The earliest- deadline order, its counters and its weights are as they were: the hint only bounds what is out at a server, as its attempts did before.

--- a/src/main/java/beechfall/Balancer.java
+++ b/src/main/java/beechfall/Balancer.java
@@ -123,8 +123,11 @@
     /** News of the server list. A backend missing from a full list is gone. */
     record Members(ListKind kind, List<Backend> backends) implements Event { }
 
-    /** A client's request; {@code key} and {@code tenant} may be null, {@code leftUs} is the client's patience. */
-    record Arrival(String id, String requestClass, String tenant, String key, long leftUs, boolean repeat)
+    /**
+     * A client's request; {@code key} and {@code tenant} may be null, {@code leftUs} is the client's patience and
+     * {@code costUs} a guess at its work on a standard core, 0 where there is none.
+     */
+    record Arrival(String id, String requestClass, String tenant, String key, long leftUs, boolean repeat, long costUs)
             implements Event { }
 
     /** An answer has begun to stream: the attempt is the client's from here on. */
--- a/src/main/java/beechfall/Policy.java
+++ b/src/main/java/beechfall/Policy.java
@@ -64,6 +64,9 @@
     private long askAt = Long.MIN_VALUE;
     private int failedAsks;
     private int outstanding;
+    private double outWork;
+    private double meanCostUs;
+    private int costs;
     private final long crowdUs;
     private final List<Request> held = new ArrayList<>();
     private double room;
@@ -155,6 +158,7 @@
         private double weight;
         private double near;
         private double currentTime;
+        private double outWork;
         private double ownUs;
         private double ownSamples;
         private double coldTokens;
@@ -176,6 +180,7 @@
         private final int flow;
         private final String key;
         private final double worth;
+        private final double size;
         private final long aimAt;
         private final long deadline;
         private final List<Attempt> attempts = new ArrayList<>(2);
@@ -185,12 +190,14 @@
         private double cheaper;
         private Server home;
 
-        Request(String id, RequestClass type, int flow, String key, double worth, long began, long deadline) {
+        Request(String id, RequestClass type, int flow, String key, double worth, double size, long began,
+                long deadline) {
             this.id = id;
             this.type = type;
             this.flow = flow;
             this.key = key;
             this.worth = worth;
+            this.size = size;
             this.deadline = deadline;
             this.aimAt = type.lateWorth() > 0 ? deadline : Math.min(deadline, began + type.aimUs());
         }
@@ -377,7 +384,7 @@
         long began = a.leftUs() < least ? now + a.leftUs() - type.deadlineUs() : now;
         worth *= type.worth() * (now < began + type.aimUs() ? 1 : type.lateWorth());
         String key = settings.warmKeys() ? a.key() : null;
-        var r = new Request(a.id(), type, flow, key, worth, began, now + a.leftUs());
+        var r = new Request(a.id(), type, flow, key, worth, size(a), began, now + a.leftUs());
         requests.put(r.id, r);
         hold(r);
     }
@@ -399,7 +406,7 @@
             deadline *= trust ? 1 : 1e18;
             // Few have a cold backend in their part: it would get nothing of what the rest may send it.
             boolean open = !trust || left > 0 || warmth(s) < 1;
-            if (open && deadline < earliest && hasRoom(s) && coldBudget(s) >= 1) {
+            if (open && deadline < earliest && hasRoom(s, r) && coldBudget(s) >= 1) {
                 best = s;
                 earliest = deadline;
             }
@@ -422,12 +429,22 @@
         return mixed ^ mixed >>> 13;
     }
 
+    /** A request's work, in requests: its cost over the mean, where clients give a guess at it. */
+    private double size(Arrival a) {
+        if (a.costUs() <= 0) {
+            return 1;
+        }
+        costs = Math.min(costs + 1, KIND_MEMORY);
+        meanCostUs += (a.costUs() - meanCostUs) / costs;
+        return a.costUs() / meanCostUs;
+    }
+
     /**
-     * A backend may have its weight's share of all attempts out, at least 1. Counters see sends alone; this
-     * sees a backend that answers late or not at all, whatever the cause.
+     * A backend may have its weight's share of all work out, at least one attempt. Counters see sends alone; this
+     * sees a backend that answers late or not at all, or is busy with costly requests.
      */
-    private boolean hasRoom(Server s) {
-        return s.whole.out < Math.max(1, Math.ceil(s.weight * (outstanding + 1)));
+    private boolean hasRoom(Server s, Request r) {
+        return s.whole.out == 0 || s.outWork + r.size <= Math.ceil(s.weight * (outWork + r.size));
     }
 
     /** Rule 2: a request that may have run goes only where its class lets it run again. */
@@ -493,6 +510,8 @@
     private void send(Request r, Server s) {
         s.currentTime += 1;
         s.whole.sent(now);
+        s.outWork += r.size;
+        outWork += r.size;
         s.flows[r.flow].sent(now);
         outstanding++;
         s.coldTokens -= 1;
@@ -516,6 +535,8 @@
         boolean heard = e.outcome() != Outcome.TIMEOUT && e.outcome() != Outcome.CANCELLED;
         a.server.whole.ended(now, heard);
         a.server.flows[r.flow].ended(now, heard);
+        a.server.outWork -= r.size;
+        outWork -= r.size;
         outstanding--;
         r.out--;
         releaseUnlessReady(a.server);
--- a/src/main/java/beechfall/proxy/Frontend.java
+++ b/src/main/java/beechfall/proxy/Frontend.java
@@ -50,6 +50,7 @@
 /** The clients' side: takes requests in, turns bad ones away, and gives each good one exactly one answer. */
 final class Frontend {
     private static final Pattern TIMEOUT = Pattern.compile("(\\d{1,8})([mu])");
+    private static final Pattern COST = Pattern.compile("\\d{1,9}");
     /** An answer is on its way for a moment, and the proxy may be late by a few milliseconds. */
     private static final long ON_ITS_WAY_US = 8_000;
     /** How often the loop shows that it runs, and how late that may be before it counts as held up. */
@@ -369,7 +370,7 @@
             long patienceUs = patienceUs(header(headers, Headers.TIMEOUT));
             long deadline = firstByteAt + patienceUs - Math.min(ON_ITS_WAY_US, patienceUs / 10);
             return new Proxy.Incoming(requestId, requestClass, tenant, keys == null ? null : keys.get(0),
-                    "1".equals(headers.get(Headers.RETRIED)), deadline,
+                    "1".equals(headers.get(Headers.RETRIED)), costUs(headers.get(Headers.COST)), deadline,
                     new Backends.Outgoing(request.method(), request.uri(), headers, request.content()));
         }
 
@@ -381,6 +382,11 @@
             return value;
         }
 
+        /** A guess may be left out, and one that can't be read is as good as none. */
+        private static long costUs(String text) {
+            return text != null && COST.matcher(text).matches() ? Long.parseLong(text) : 0;
+        }
+
         private static long patienceUs(String text) throws Rejected {
             Matcher m = TIMEOUT.matcher(text);
             if (!m.matches() || Long.parseLong(m.group(1)) == 0) {
--- a/src/main/java/beechfall/proxy/Headers.java
+++ b/src/main/java/beechfall/proxy/Headers.java
@@ -13,6 +13,7 @@
     static final String TENANT = "x-tenant-id";
     static final String TIMEOUT = "x-timeout";
     static final String IDEMPOTENCY_KEY = "idempotency-key";
+    static final String COST = "x-cost";
     static final String RETRIED = "x-retried";
     static final String NOT_PROCESSED = "x-not-processed";
 
--- a/src/main/java/beechfall/proxy/Proxy.java
+++ b/src/main/java/beechfall/proxy/Proxy.java
@@ -33,8 +33,8 @@
      * A client's request. {@code deadlineUs} is on the proxy's clock: the last moment at which an answer can leave and
      * still be there before the client gives up.
      */
-    record Incoming(String id, String requestClass, String tenant, String key, boolean repeat, long deadlineUs,
-            Backends.Outgoing outgoing) { }
+    record Incoming(String id, String requestClass, String tenant, String key, boolean repeat, long costUs,
+            long deadlineUs, Backends.Outgoing outgoing) { }
 
     /** A request and its attempts, kept until it is answered and no attempt is out. */
     private static final class Request {
@@ -101,7 +101,7 @@
         requests.put(incoming.id(), r);
         r.safety = loop.schedule(() -> overdue(r), incoming.deadlineUs() + SAFETY_US - now, TimeUnit.MICROSECONDS);
         deliver(new Balancer.Arrival(incoming.id(), incoming.requestClass(), incoming.tenant(), incoming.key(),
-                incoming.deadlineUs() - now, incoming.repeat()));
+                incoming.deadlineUs() - now, incoming.repeat(), incoming.costUs()));
     }
 
     /** The client has closed its connection before it had an answer. */
--- a/src/main/java/beechfall/wire/Codec.java
+++ b/src/main/java/beechfall/wire/Codec.java
@@ -41,7 +41,8 @@
         switch (name) {
             case "incoming":
                 return new Balancer.Arrival(in.text("op_id"), in.text("kind"), in.optional("user_group"),
-                        in.optional("path_key"), in.whole("patience_left_us"), in.flag("repeat"));
+                        in.optional("path_key"), in.whole("patience_left_us"), in.flag("repeat"),
+                        in.whole("estimate_us", 0));
             case "completed":
                 return new Balancer.AttemptEnded(in.text("op_id"), in.small("go"), in.text("backend"),
                         word(in, "how", OUTCOMES), in.whole("cost_time_us"), in.flag("last"));
--- a/src/test/java/beechfall/CrowdTest.java
+++ b/src/test/java/beechfall/CrowdTest.java
@@ -183,15 +183,15 @@
         var out = new ArrayList<String>();
         for (int i = 0; i < 4; i++) {
             String id = "first" + i;
-            proxy.feed(new Balancer.Arrival(id, "read", null, null, 1800 * MS, false));
+            proxy.feed(new Balancer.Arrival(id, "read", null, null, 1800 * MS, false, 0));
             out.add(id);
         }
         assertThat(proxy.sends("first2")).isEqualTo(1);
         assertThat(proxy.sends("first3")).isZero();
         // 1.2 s of 2 s are left, so the client began 0.8 s ago; its aim was 0.6 s.
-        proxy.feed(new Balancer.Arrival("late", "read", null, null, 1200 * MS, true));
+        proxy.feed(new Balancer.Arrival("late", "read", null, null, 1200 * MS, true, 0));
         // As much patience as first tries have: nothing is known of when it began.
-        proxy.feed(new Balancer.Arrival("again", "read", null, null, 1800 * MS, true));
+        proxy.feed(new Balancer.Arrival("again", "read", null, null, 1800 * MS, true, 0));
         assertThat(proxy.has(new Balancer.Refuse("late", 0))).isTrue();
         proxy.end("first0", Outcome.OK, MS);
         proxy.end("first1", Outcome.OK, MS);
@@ -201,7 +201,7 @@
         proxy.end("first2", Outcome.OK, MS);
         proxy.end("first3", Outcome.OK, MS);
         proxy.end("again", Outcome.OK, MS);
-        proxy.feed(new Balancer.Arrival("idle", "read", null, null, 1200 * MS, true));
+        proxy.feed(new Balancer.Arrival("idle", "read", null, null, 1200 * MS, true, 0));
         assertThat(proxy.sends("idle")).isEqualTo(1);
     }
 
@@ -213,7 +213,7 @@
         var home = new java.util.HashMap<String, String>();
         for (int i = 0; i < key.length; i++) {
             key[i] = "key" + i;
-            p.feed(new Balancer.Arrival("probe" + i, "read", null, key[i], 2 * Proxy.S, false));
+            p.feed(new Balancer.Arrival("probe" + i, "read", null, key[i], 2 * Proxy.S, false, 0));
             home.put(key[i], p.lastSend("probe" + i).backend());
             p.end("probe" + i, Outcome.OK, MS);
         }
@@ -225,9 +225,9 @@
         String freed = p.lastSend(out.get(0)).backend();
         String other = java.util.Arrays.stream(key).filter(k -> !home.get(k).equals(freed)).findFirst().orElseThrow();
         String fits = java.util.Arrays.stream(key).filter(k -> home.get(k).equals(freed)).findFirst().orElseThrow();
-        p.feed(new Balancer.Arrival("other", "read", null, other, 2 * Proxy.S, false));
+        p.feed(new Balancer.Arrival("other", "read", null, other, 2 * Proxy.S, false, 0));
         p.now += MS;
-        p.feed(new Balancer.Arrival("fits", "read", null, fits, 2 * Proxy.S, false));
+        p.feed(new Balancer.Arrival("fits", "read", null, fits, 2 * Proxy.S, false, 0));
         assertThat(p.sends("other") + p.sends("fits")).isZero();
         p.end(out.get(0), Outcome.OK, MS);
         assertThat(p.sends("fits")).isEqualTo(1);
--- a/src/test/java/beechfall/EmbeddingTest.java
+++ b/src/test/java/beechfall/EmbeddingTest.java
@@ -20,7 +20,7 @@
         var policy = new Policy(new Balancer.Settings(3, 0, "zone-a", 1_000, List.of(READ), List.of(), 1, false, LIMITS, RULES, 42));
         var backend = new Balancer.Backend("10.0.0.1:80", Balancer.State.READY, "std", "zone-a", 0, 0, 1);
         policy.handle(1_000, new Balancer.Members(Balancer.ListKind.FULL, List.of(backend)), carriedOut::add);
-        policy.handle(2_000, new Balancer.Arrival("r1", "read", null, null, 2_000_000, false), carriedOut::add);
+        policy.handle(2_000, new Balancer.Arrival("r1", "read", null, null, 2_000_000, false, 0), carriedOut::add);
         assertThat(carriedOut).containsExactly(new Balancer.Send("r1", "10.0.0.1:80", 1_200_000));
         policy.handle(20_500, new Balancer.AttemptEnded("r1", 0, "10.0.0.1:80", Balancer.Outcome.OK, 18_500, true),
                 carriedOut::add);
@@ -42,7 +42,7 @@
     @Test
     void aRequestOfAnUnknownClassIsAnError() {
         var policy = new Policy(new Balancer.Settings(1, 0, "a", 1, List.of(READ), List.of(), 1, false, LIMITS, RULES, 1));
-        assertThatThrownBy(() -> policy.handle(1, new Balancer.Arrival("r1", "write", null, null, 1, false), action -> { }))
+        assertThatThrownBy(() -> policy.handle(1, new Balancer.Arrival("r1", "write", null, null, 1, false, 0), action -> { }))
                 .isInstanceOf(IllegalArgumentException.class).hasMessageContaining("write");
     }
 }
--- a/src/test/java/beechfall/LedgerTest.java
+++ b/src/test/java/beechfall/LedgerTest.java
@@ -143,7 +143,7 @@
                 long left = (long) (type.deadlineUs() * (0.2 + 0.8 * random.nextDouble()));
                 String id = "q" + arrived++;
                 requests.put(id, new Open(type, now + left));
-                feed(new Arrival(id, type.name(), random.nextBoolean() ? "t" : null, null, left, random.nextInt(5) == 0));
+                feed(new Arrival(id, type.name(), random.nextBoolean() ? "t" : null, null, left, random.nextInt(5) == 0, 0));
             }
             if (random.nextInt(200) == 0) {
                 String id = "s" + random.nextInt(8);
--- a/src/test/java/beechfall/PickTest.java
+++ b/src/test/java/beechfall/PickTest.java
@@ -138,6 +138,30 @@
         assertThat(stuck).isEqualTo(1);
     }
 
+    /** Its counter has risen by one like any other's: only what is known to be out there tells that it is busy. */
+    @Test
+    void aBackendThatIsBusyWithACostlyRequestGetsNoOtherWhileTheRestHaveRoom() {
+        proxy.list(backend("a"), backend("b"), backend("c"));
+        for (int i = 0; i < 100; i++) {
+            String id = proxy.arrive(READ, null, 10 * MS);
+            proxy.now += 10 * MS;
+            proxy.end(id, Outcome.OK, 10 * MS);
+        }
+        String costly = proxy.lastSend(proxy.arrive(READ, null, 200 * MS)).backend();
+        for (int i = 0; i < 20; i++) {
+            String one = proxy.arrive(READ, null, 10 * MS);
+            String two = proxy.arrive(READ, null, 10 * MS);
+            String three = proxy.arrive(READ, null, 10 * MS);
+            for (String id : List.of(one, two, three)) {
+                assertThat(proxy.lastSend(id).backend()).isNotEqualTo(costly);
+            }
+            proxy.now += 10 * MS;
+            for (String id : List.of(one, two, three)) {
+                proxy.end(id, Outcome.OK, 10 * MS);
+            }
+        }
+    }
+
     @Test
     void aKeyGoesWhereAllProxiesKeepItWarmWhileThatBackendHasRoom() {
         var backends = new Backend[] {backend("a"), backend("b"), backend("c"), backend("d")};
@@ -148,13 +172,13 @@
             p.list(backends);
             for (int i = 0; i < 40; i++) {
                 String key = "key" + i;
-                p.feed(new Balancer.Arrival("k" + i, "read", null, key, 2 * S, false));
+                p.feed(new Balancer.Arrival("k" + i, "read", null, key, 2 * S, false, 0));
                 String to = p.lastSend("k" + i).backend();
                 assertThat(homes.putIfAbsent(key, to)).isIn(null, to);
                 if (i % 4 != 0) {
                     p.end("k" + i, Outcome.OK, MS);
                 } else {
-                    p.feed(new Balancer.Arrival("again" + i, "read", null, key, 2 * S, false));
+                    p.feed(new Balancer.Arrival("again" + i, "read", null, key, 2 * S, false, 0));
                     assertThat(p.lastSend("again" + i).backend()).isNotEqualTo(to);
                     p.end("again" + i, Outcome.OK, MS);
                     p.end("k" + i, Outcome.OK, MS);
--- a/src/test/java/beechfall/Proxy.java
+++ b/src/test/java/beechfall/Proxy.java
@@ -104,8 +104,12 @@
     }
 
     String arrive(RequestClass type, String tenant) {
+        return arrive(type, tenant, 0);
+    }
+
+    String arrive(RequestClass type, String tenant, long costUs) {
         String id = "r" + nextId++;
-        feed(new Arrival(id, type.name(), tenant, null, type.deadlineUs(), false));
+        feed(new Arrival(id, type.name(), tenant, null, type.deadlineUs(), false, costUs));
         return id;
     }
 
--- a/src/test/java/beechfall/proxy/FrontendTest.java
+++ b/src/test/java/beechfall/proxy/FrontendTest.java
@@ -43,6 +43,16 @@
         }
     }
 
+    /** A guess at the cost that makes no sense is no reason to turn a request away. */
+    @ParameterizedTest
+    @CsvSource({"X-Cost: 18500,18500", "X-Cost: -3,0", "X-Cost: much,0", "X-Cost: 99999999999,0", "X-Other: 1,0"})
+    void tellsTheModuleTheGuessAtTheCost(String header, long costUs) throws Exception {
+        try (var proxy = new Fixture(SILENT); var client = proxy.client()) {
+            client.send(Fixture.get("r1").replace("X-Tenant-Id", header + "\r\nX-Tenant-Id"));
+            assertThat(proxy.next(Arrival.class).costUs()).isEqualTo(costUs);
+        }
+    }
+
     /** Whatever is wrong with a request, it costs neither a backend nor the module anything. */
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {
--- a/src/test/java/beechfall/wire/HostTest.java
+++ b/src/test/java/beechfall/wire/HostTest.java
@@ -82,7 +82,7 @@
     @Test
     void readsEveryEvent() throws IOException {
         assertThat(run(batch(UP, LIST,
-                "incoming who=3 op_id=t/1 kind=pay user_group=vest path_key=user:k patience_left_us=240000 repeat=1\n",
+                "incoming who=3 op_id=t/1 kind=pay user_group=vest path_key=user:k patience_left_us=240000 repeat=1 estimate_us=12000\n",
                 "completed who=3 op_id=t/1 last=0 cost_time_us=18500 how=shed backend=10.1.1.1:80 go=0 health_info=rif:2\n",
                 "flowing who=3 op_id=t/1 cost_time_us=9 go=1 backend=10.1.1.1:80\n", "hangup who=3 op_id=t/1\n",
                 "probed who=3 cost_time_us=14 how=delivered backend=10.1.1.1:80\n", "deadline_hit who=3 ctx=x\n",
@@ -90,7 +90,7 @@
         assertThat(events).containsExactly(
                 new Balancer.Members(Balancer.ListKind.CACHED, List.of(new Balancer.Backend("10.1.1.1:80",
                         Balancer.State.READY, "std-1", "ulven", 2, 7, 1.5))),
-                new Balancer.Arrival("t/1", "pay", "vest", "user:k", 240000, true),
+                new Balancer.Arrival("t/1", "pay", "vest", "user:k", 240000, true, 12_000),
                 new Balancer.AttemptEnded("t/1", 0, "10.1.1.1:80", Balancer.Outcome.FULL, 18500, false),
                 new Balancer.StreamStarted("t/1", 1), new Balancer.ClientGone("t/1"),
                 new Balancer.ProbeEnded("10.1.1.1:80", Balancer.Outcome.OK, 14), new Balancer.TimerFired("x"));
