Refuse at once what no server can finish in time, and spare slow ones the rest

A request of many times the usual work was sent to whichever server was next, kept it busy for several aims, was answered late for nothing and made the requests behind it late too. The module now learns per kind what a unit of cost takes (slope of answer time on the hint, never over their ratio, and forgotten where nothing is answered) and leaves out a server that even idle could not finish a request before its aim. If that is all of them the client is refused at once, with Retry-After.

--- a/src/main/java/beechfall/Policy.java
+++ b/src/main/java/beechfall/Policy.java
@@ -99,11 +99,35 @@
     private static final class Kind {
         private double meanUs;
         private int samples;
+        private int costs;
+        private double meanCost;
+        private double meanTook;
+        private double variance;
+        private double covariance;
+        private long learnedAt;
 
         void learn(double latencyUs) {
             samples = Math.min(samples + 1, KIND_MEMORY);
             meanUs += (latencyUs - meanUs) / samples;
         }
+
+        /** What an answer took, against what it was guessed to cost: the rest is waiting, whatever the cost. */
+        void learn(double latencyUs, double costUs, long now) {
+            learnedAt = now;
+            costs = Math.min(costs + 1, KIND_MEMORY);
+            double offCost = costUs - meanCost;
+            double offTook = latencyUs - meanTook;
+            meanCost += offCost / costs;
+            meanTook += offTook / costs;
+            variance += (offCost * (costUs - meanCost) - variance) / costs;
+            covariance += (offTook * (costUs - meanCost) - covariance) / costs;
+        }
+
+        /** Returns what a unit of cost takes here, 0 while that is not known, or no longer. */
+        double perCost(long now, long forgetUs) {
+            return costs < KIND_MEMORY / 32 || variance <= 0 || now - learnedAt > forgetUs ? 0
+                    : Math.max(0, Math.min(covariance / variance, meanTook / meanCost));
+        }
     }
 
     /** What a tenant may still send through this proxy as part of its share. */
@@ -181,6 +205,7 @@
         private final String key;
         private final double worth;
         private final double size;
+        private final double costUs;
         private final long aimAt;
         private final long deadline;
         private final List<Attempt> attempts = new ArrayList<>(2);
@@ -190,7 +215,7 @@
         private double cheaper;
         private Server home;
 
-        Request(String id, RequestClass type, int flow, String key, double worth, double size, long began,
+        Request(String id, RequestClass type, int flow, String key, double worth, double size, double costUs, long began,
                 long deadline) {
             this.id = id;
             this.type = type;
@@ -198,6 +223,7 @@
             this.key = key;
             this.worth = worth;
             this.size = size;
+            this.costUs = costUs;
             this.deadline = deadline;
             this.aimAt = type.lateWorth() > 0 ? deadline : Math.min(deadline, began + type.aimUs());
         }
@@ -384,7 +410,7 @@
         long began = a.leftUs() < least ? now + a.leftUs() - type.deadlineUs() : now;
         worth *= type.worth() * (now < began + type.aimUs() ? 1 : type.lateWorth());
         String key = settings.warmKeys() ? a.key() : null;
-        var r = new Request(a.id(), type, flow, key, worth, size(a), began, now + a.leftUs());
+        var r = new Request(a.id(), type, flow, key, worth, size(a), a.costUs(), began, now + a.leftUs());
         requests.put(r.id, r);
         hold(r);
     }
@@ -396,7 +422,7 @@
         // Far busier than others, a proxy takes a larger part: a backend for each attempt out in the mean.
         double left = Math.max(PART * servers.size() / settings.balancers(), answerRate() * idleUs);
         for (Server s : servers) {
-            if (!effectAllows(s, r)) {
+            if (!effectAllows(s, r) || !inTime(s, r)) {
                 continue;
             }
             boolean trust = trusted(s, r);
@@ -417,6 +443,16 @@
         return best == null || balance < 0 || trusted(best, r) ? best : null;
     }
 
+    /**
+     * Whether a backend that did nothing else could do a request's work before its aim. One that can't is spared it:
+     * the answer would be worth nothing, and the work would keep many others waiting.
+     */
+    private boolean inTime(Server s, Request r) {
+        double workUs = r.costUs * s.kind.perCost(now, PAUSES * refreshUs);
+        return workUs == 0 || now >= r.aimAt
+                || now + workUs * Math.max(1, responseUs(s) / s.kind.meanUs) <= r.aimAt;
+    }
+
     /** The backend where a key is likely to be warm: all proxies find the same one, by rendezvous hashing. */
     private Server home(String key) {
         return servers.stream().max(Comparator.comparingInt(s -> mix(key.hashCode() ^ s.id.hashCode())))
@@ -549,6 +585,9 @@
         }
         if (ok) {
             all.learn(e.latencyUs());
+            if (r.costUs > 0) {
+                a.server.kind.learn(e.latencyUs(), r.costUs, now);
+            }
             answersPerUs = answerRate() + 1.0 / refreshUs;
             answersAt = now;
             refused -= refused / 16;
@@ -618,7 +657,7 @@
         held.add(i, r);
     }
 
-    /** Sends what there is room for; the rest waits, if it can still be in time and is not too much. */
+    /** Sends what there is room for; the rest waits, if any backend can still be in time and it is not too much. */
     private void release() {
         if (held.isEmpty()) {
             return;
@@ -639,7 +678,7 @@
             if (s != null) {
                 held.remove(i);
                 send(r, s);
-            } else if (r.attempts.isEmpty()) {
+            } else if (r.attempts.isEmpty() && servers.stream().allMatch(x -> inTime(x, r))) {
                 break;
             } else {
                 i++;
@@ -647,7 +686,7 @@
         }
         for (int i = held.size() - 1; i >= 0; i--) {
             Request r = held.get(i);
-            if (r.giveUpAt <= now || servers.isEmpty() || i >= Math.max(room, 1)) {
+            if (r.giveUpAt <= now || servers.stream().noneMatch(s -> inTime(s, r)) || i >= Math.max(room, 1)) {
                 held.remove(i);
                 finish(r);
             }
--- a/src/test/java/beechfall/PickTest.java
+++ b/src/test/java/beechfall/PickTest.java
@@ -162,6 +162,47 @@
         }
     }
 
+    /** Cost is told in time on a standard core; here the fast take as long as told, the slow three times as long. */
+    private void teachCosts() {
+        proxy.list(backend("fast", "f", "a", 1), backend("slow", "s", "a", 1));
+        for (int i = 0; i < 400; i++) {
+            long cost = (i % 9 + 1) * 10 * MS;
+            String id = proxy.arrive(READ, null, cost);
+            long latency = 5 * MS + cost * (proxy.lastSend(id).backend().equals("fast") ? 1 : 3);
+            proxy.now += latency;
+            proxy.end(id, Outcome.OK, latency);
+        }
+    }
+
+    @Test
+    void aCostlyRequestGoesOnlyWhereItCanBeInTime() {
+        teachCosts();
+        for (int i = 0; i < 6; i++) {
+            String id = proxy.arrive(READ, null, 300 * MS);
+            assertThat(proxy.lastSend(id).backend()).isEqualTo("fast");
+            proxy.now += 305 * MS;
+            proxy.end(id, Outcome.OK, 305 * MS);
+        }
+    }
+
+    /** Its answer would be worth nothing, and its work would keep many others waiting: the client hears so at once. */
+    @Test
+    void aRequestThatNoBackendCanFinishInTimeIsRefusedAtOnce() {
+        teachCosts();
+        String id = proxy.arrive(READ, null, 900 * MS);
+        assertThat(proxy.sends(id)).isZero();
+        assertThat(proxy.has(new Balancer.Refuse(id, 0))).isTrue();
+        assertThat(proxy.sends(proxy.arrive(READ, null, 50 * MS))).isEqualTo(1);
+    }
+
+    /** Or nothing would ever tell that the backends are as fast again as they once were. */
+    @Test
+    void whatACostTakesIsForgottenWhereNothingIsAnswered() {
+        teachCosts();
+        proxy.now += 20 * S;
+        assertThat(proxy.sends(proxy.arrive(READ, null, 900 * MS))).isEqualTo(1);
+    }
+
     @Test
     void aKeyGoesWhereAllProxiesKeepItWarmWhileThatBackendHasRoom() {
         var backends = new Backend[] {backend("a"), backend("b"), backend("c"), backend("d")};
