Serve over open connections until shortly before a planned restart's end

After SIGTERM the proxy hung up 0.5 s later and ended, but the next one in its place starts at a fixed time after the signal, and where it is the only proxy, or the other restarts too, nobody served meanwhile. Now clients keep the connections they have until 0.4 s before the end, a request taken then has its deadline cut to what is left, and longest deadlines count as 3 s at most, as PROTOCOL has it. /ready says no from the signal on.

--- a/src/main/java/beechfall/proxy/Frontend.java
+++ b/src/main/java/beechfall/proxy/Frontend.java
@@ -70,7 +70,9 @@
     private final Set<String> tenants = new HashSet<>();
     private final Set<Connection> connections = new HashSet<>();
     private Channel listener;
+    private boolean draining;
     private boolean closing;
+    private long latestDeadline = Long.MAX_VALUE;
     private long beatAt;
     private long heldUpFrom = Long.MAX_VALUE;
 
@@ -117,15 +119,19 @@
         return clock.now() - beatAt > 2 * BEAT_US ? beatAt + BEAT_US : otherwise;
     }
 
-    /** From now on each answer is its connection's last, so that the clients go elsewhere. */
-    void closeAfterAnswers() {
-        closing = true;
+    /** From now on this proxy is not ready, and whatever it still takes is answered by a moment on its clock. */
+    void drain(long answeredBy) {
+        draining = true;
+        latestDeadline = answeredBy;
     }
 
-    /** Accepts no more, and closes the connections on which nothing is asked. */
     void stopListening() {
-        closing = true;
         listener.close();
+    }
+
+    /** From now on each answer is its connection's last, and a connection on which nothing is asked is closed. */
+    void closeAfterAnswers() {
+        closing = true;
         List.copyOf(connections).forEach(Connection::closeIfIdle);
     }
 
@@ -322,7 +328,7 @@
             try {
                 var uri = new QueryStringDecoder(request.uri());
                 if (uri.rawPath().equals("/ready")) {
-                    answer(ready.getAsBoolean() && !closing ? plain(HttpResponseStatus.OK, "ready")
+                    answer(ready.getAsBoolean() && !draining ? plain(HttpResponseStatus.OK, "ready")
                             : plain(HttpResponseStatus.SERVICE_UNAVAILABLE, "not ready"));
                     return;
                 }
@@ -368,7 +374,7 @@
             }
             List<String> keys = uri.parameters().get("k");
             long patienceUs = patienceUs(header(headers, Headers.TIMEOUT));
-            long deadline = firstByteAt + patienceUs - Math.min(ON_ITS_WAY_US, patienceUs / 10);
+            long deadline = Math.min(latestDeadline, firstByteAt + patienceUs - Math.min(ON_ITS_WAY_US, patienceUs / 10));
             return new Proxy.Incoming(requestId, requestClass, tenant, keys == null ? null : keys.get(0),
                     "1".equals(headers.get(Headers.RETRIED)), costUs(headers.get(Headers.COST)), deadline,
                     new Backends.Outgoing(request.method(), request.uri(), headers, request.content()));
--- a/src/main/java/beechfall/proxy/Serve.java
+++ b/src/main/java/beechfall/proxy/Serve.java
@@ -20,9 +20,16 @@
     private static final long LOOK_MS = 10;
     /** The process is killed so long after the longest deadline, counted from the signal; a little earlier it ends. */
     private static final long KILL_MS = 600;
+    /** A longer deadline than this does not put the kill off. */
+    private static final long MOST_DEADLINE_MS = 3_000;
+    /** So long before the end each answer becomes its connection's last; whoever asks then is still served. */
+    private static final long LAST_CALL_MS = 400;
+    /** What is taken is answered so long before the end: the answer is to be written as well. */
+    private static final long WRITING_MS = 100;
 
     private final Config config;
     private final Log log = new Log();
+    private final Clock clock = new Clock();
     private final EventLoop loop;
     private final Proxy proxy;
     private final Discovery discovery;
@@ -36,7 +43,6 @@
     Serve(Config config, Balancer module) {
         this.config = config;
         loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-        var clock = new Clock();
         var settings = config.settings();
         var sockets = new Sockets(config.sockets());
         var backends = new Backends(clock, loop, NioSocketChannel.class, sockets, config.connIdleUs(), config.connectTimeoutUs());
@@ -124,12 +130,16 @@
         });
     }
 
-    /** Answers all that is taken, sends the clients elsewhere, and ends the process in time. */
+    /**
+     * Answers all that is taken, and ends the process in time. Until shortly before, clients are served over the
+     * connections they have: the next proxy in this place begins no sooner, and others may not be there.
+     */
     void drain() {
         long longestMs = config.settings().classes().stream().mapToLong(c -> c.deadlineUs()).max().orElse(0) / 1_000;
+        long endMs = Math.min(longestMs, MOST_DEADLINE_MS) + KILL_MS;
         loop.execute(() -> {
             log.line(config.name() + ": draining");
-            frontend.closeAfterAnswers();
+            frontend.drain(clock.now() + TimeUnit.MILLISECONDS.toMicros(endMs - WRITING_MS));
         });
         loop.schedule(() -> {
             frontend.stopListening();
@@ -139,8 +149,9 @@
                 }
             }, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
         }, FRONT_LAG_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(frontend::closeAfterAnswers, endMs - LAST_CALL_MS, TimeUnit.MILLISECONDS);
         try {
-            boolean all = drained.await(longestMs + KILL_MS, TimeUnit.MILLISECONDS);
+            boolean all = drained.await(endMs, TimeUnit.MILLISECONDS);
             loop.submit(() -> log.line(config.name() + (all ? ": drained" : ": ends with clients still connected")))
                     .awaitUninterruptibly(LOOK_MS);
         } catch (InterruptedException e) {
