--- a/src/test/java/beechfall/proxy/ServeTest.java
+++ b/src/test/java/beechfall/proxy/ServeTest.java
@@ -4,11 +4,14 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import beechfall.Balancer.Arrival;
+import beechfall.Balancer.Fetch;
+import beechfall.Balancer.Members;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
 
 /** A planned restart, and the limit on sockets. */
@@ -36,8 +39,17 @@
     /** Rule 1 at a restart: what is taken is answered, new clients are served while the front still sends them. */
     @Test
     void answersAllThatItHasTakenBeforeItEnds() throws Exception {
-        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend);
-                var busy = proxy.client(); var idle = proxy.client(); var used = proxy.client()) {
+        var asked = new AtomicBoolean();
+        try (var backend = new Peer(); var proxy = new Fixture((event, actions) -> {
+            if (!asked.getAndSet(true)) {
+                actions.accept(new Fetch());
+            }
+            Fixture.sendTo("s0").handle(event, actions);
+        }, backend); var busy = proxy.client(); var idle = proxy.client(); var used = proxy.client()) {
+            proxy.discovery.always(Peer.ok(Fixture.list(42, true, Fixture.entry("s0", backend.address(), "ready"))));
+            proxy.next(Members.class);
+            proxy.next(Members.class);
+            assertThat(used.send("GET /ready HTTP/1.1\r\n\r\n").read().status()).isEqualTo(200);
             busy.send(Fixture.get("r1"));
             Wire slow = backend.accept();
             slow.read();
@@ -48,6 +60,7 @@
             while (answer.status() == 200) {
                 answer = used.send("GET /ready HTTP/1.1\r\n\r\n").read();
             }
+            assertThat(answer.header("Connection")).isNull();
             // It is told, and goes on with the clients it has, and with those that the front still sends.
             try (var late = proxy.client()) {
                 late.send(Fixture.get("r2"));
@@ -60,7 +73,7 @@
             assertThat(busy.read().body()).isEqualTo("slow");
             // One that would wait for longer than there is time is answered before the end all the same.
             used.send(Fixture.get("r3").replace("1900m", "9000m"));
-            slow.read();
+            assertThat(slow.read().header("X-Request-ID")).isEqualTo("r3");
             assertThat(idle.ended()).isTrue();
             assertThatThrownBy(proxy::client).isInstanceOf(IOException.class);
             assertThat(drained).isNotDone();
