Answer or hang up on a peer whose request is not whole after 2.5 s

Enough of them fill the share of descriptors that clients may have, and then the listener stops accepting. A request of another major version than 1 was served as if it were HTTP/1; it gets 400.

--- a/src/main/java/beechfall/proxy/Frontend.java
+++ b/src/main/java/beechfall/proxy/Frontend.java
@@ -31,6 +31,7 @@
 import io.netty.handler.codec.http.QueryStringDecoder;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -56,6 +57,8 @@
     /** How often the loop shows that it runs, and how late that may be before it counts as held up. */
     private static final long BEAT_US = 10_000;
     private static final long IDLE_S = 60;
+    /** A peer whose request is not whole by then is owed an error or a close; the platform allows 3 s. */
+    private static final long WHOLE_MS = 2_500;
     private static final long LINGER_MS = 1_000;
     private static final int BACKLOG = 1_024;
     /** Requests read ahead on one connection; clients send one at a time, so more is not worth memory. */
@@ -159,11 +162,13 @@
         private long firstByteAt = -1;
         private long lastReadAt;
         private FullHttpResponse parting;
+        private Future<?> overdue;
 
         @Override
         public void handlerAdded(ChannelHandlerContext ctx) {
             channel = ctx.channel();
             connections.add(this);
+            expectRequest();
             channel.pipeline().addLast(new IdleStateHandler(0, 0, IDLE_S, TimeUnit.SECONDS), new HttpServerCodec(),
                     new Aggregator(this), new Requests(this));
         }
@@ -173,14 +178,38 @@
         public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
             if (firstByteAt < 0) {
                 firstByteAt = Math.min(heldUpFrom, arrivedAt(clock.now()));
+                expectRequest();
                 sockets.clientIdle(channel, false);
             }
             super.channelRead(ctx, message);
         }
 
+        /** Not a matter of silence: one byte now and then would keep an unfinished request, and its socket, for ever. */
+        private void expectRequest() {
+            if (overdue == null) {
+                overdue = channel.eventLoop().schedule(this::unfinished, WHOLE_MS, TimeUnit.MILLISECONDS);
+            }
+        }
+
+        private void requestIsWhole() {
+            if (overdue != null) {
+                overdue.cancel(false);
+                overdue = null;
+            }
+        }
+
+        private void unfinished() {
+            if (firstByteAt < 0) {
+                channel.close();
+            } else {
+                part(plain(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not end in time"));
+            }
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext ctx) throws Exception {
             connections.remove(this);
+            requestIsWhole();
             waiting.forEach(e -> e.request.release());
             waiting.clear();
             if (exchange != null) {
@@ -192,7 +221,8 @@
         }
 
         void request(FullHttpRequest request) {
-            if (parting != null || request.decoderResult().isFailure()) {
+            requestIsWhole();
+            if (parting != null || request.decoderResult().isFailure() || request.protocolVersion().majorVersion() != 1) {
                 request.release();
                 part(plain(HttpResponseStatus.BAD_REQUEST, "not a request that can be read"));
                 return;
--- a/src/test/java/beechfall/proxy/FrontendTest.java
+++ b/src/test/java/beechfall/proxy/FrontendTest.java
@@ -70,6 +70,7 @@
         "GET /api?k=u1|GET /apis|404",
         "GET /api?k=u1|GET /api?k=%zz|400",
         "GET /api?k=u1|PUT /api|405",
+        "GET /api?k=u1 HTTP/1.1|GET /api?k=u1 HTTP/2.7|400",
         "GET /api?k=u1 HTTP/1.1|NONSENSE|400"})
     void turnsBadRequestsAway(String good, String bad, int status) throws Exception {
         try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
@@ -145,6 +146,24 @@
         }
     }
 
+    /** Neither a silent peer nor one that sends a byte now and then keeps a socket from those who ask. */
+    @Test
+    void aRequestThatDoesNotEndIsAnsweredOrHungUpOn() throws Exception {
+        try (var proxy = new Fixture(SILENT); var silent = proxy.client(); var slow = proxy.client();
+                var second = proxy.client()) {
+            assertThat(second.send("GET /other HTTP/1.1\r\n\r\n").read().status()).isEqualTo(404);
+            second.send("GET /api HTTP/1.1\r\nHost:");
+            for (char c : "GET /api?".toCharArray()) {
+                slow.send(String.valueOf(c));
+            }
+            assertThat(silent.ended()).isTrue();
+            assertThat(slow.read().status()).isEqualTo(408);
+            assertThat(slow.ended()).isTrue();
+            assertThat(second.read().status()).isEqualTo(408);
+            assertThat(second.ended()).isTrue();
+        }
+    }
+
     /** What comes behind a request that is being served must neither overtake its answer nor cost it. */
     @Test
     void rubbishBehindARequestIsAnsweredAfterIt() throws Exception {
