Let small held requests pass a big one that the room there is does not fit

Held requests were sent until the first that found no room. With room counted in work that no longer says anything of the smaller ones behind it: they waited for an idle server with it, and were refused.

--- a/src/main/java/beechfall/Policy.java
+++ b/src/main/java/beechfall/Policy.java
@@ -678,7 +678,8 @@
             if (s != null) {
                 held.remove(i);
                 send(r, s);
-            } else if (r.attempts.isEmpty() && servers.stream().allMatch(x -> inTime(x, r))) {
+            } else if (r.attempts.isEmpty() && r.size <= 1 && servers.stream().allMatch(x -> inTime(x, r))) {
+                // Where one that is not big, and may go anywhere, finds no room, those behind it find none either.
                 break;
             } else {
                 i++;
--- a/src/test/java/beechfall/PickTest.java
+++ b/src/test/java/beechfall/PickTest.java
@@ -203,6 +203,20 @@
         assertThat(proxy.sends(proxy.arrive(READ, null, 900 * MS))).isEqualTo(1);
     }
 
+    @Test
+    void aHeldRequestThatIsTooBigForTheRoomThereIsLetsSmallerOnesPass() {
+        proxy.list(backend("a"), backend("b"));
+        for (int i = 0; i < 100; i++) {
+            String id = proxy.arrive(READ, null, 10 * MS);
+            proxy.now += 10 * MS;
+            proxy.end(id, Outcome.OK, 10 * MS);
+        }
+        proxy.arrive(READ, null, 10 * MS);
+        proxy.arrive(READ, null, 10 * MS);
+        assertThat(proxy.sends(proxy.arrive(READ, null, 50 * MS))).isZero();
+        assertThat(proxy.sends(proxy.arrive(READ, null, 5 * MS))).isEqualTo(1);
+    }
+
     @Test
     void aKeyGoesWhereAllProxiesKeepItWarmWhileThatBackendHasRoom() {
         var backends = new Backend[] {backend("a"), backend("b"), backend("c"), backend("d")};
