Warm up over channels inside the process, not over Unix sockets nobody is led to

Every proxy's log says "warmed up with 0 made-up requests", 6 s after its start. Cause: Warmup.start binds and connects Unix sockets; where nobody is led to those, the warm-up ends at its limit of 6 s (MOST_MS), having run nothing: late and cold. The made-up parties now talk over Netty's local transport, which needs no socket and no file. Ruled out: a slow JVM start (1.1 s of the 7.2 by the log), and a list that comes late (0.5 to 2 s of it). The test starts the program with no place for temporary files; without the mend it says "not warmed up".

--- a/src/main/java/beechfall/proxy/Warmup.java
+++ b/src/main/java/beechfall/proxy/Warmup.java
@@ -11,9 +11,10 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioDomainSocketChannel;
-import io.netty.channel.socket.nio.NioServerDomainSocketChannel;
+import io.netty.channel.local.LocalAddress;
+import io.netty.channel.local.LocalChannel;
+import io.netty.channel.local.LocalIoHandler;
+import io.netty.channel.local.LocalServerChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -26,11 +27,6 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Promise;
-import java.io.IOException;
-import java.net.SocketAddress;
-import java.net.UnixDomainSocketAddress;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ExecutionException;
@@ -40,7 +36,8 @@
  * Has the code of a request run often enough to be compiled, before the proxy says that it is ready. A cold virtual
  * machine on a part of a core takes in so little that its queue of clients fills with such as have given up, and it
  * works for those. So a second proxy, which shares nothing with the real one, serves made-up requests from made-up
- * backends for a moment. All of them talk over sockets in the file system: no other party is ever reached.
+ * backends for a moment. All of them talk inside the process, over no socket at all: no other party is ever reached, and
+ * none has to carry what they say.
  */
 final class Warmup {
     /** A method is compiled once it has run 200 times, and some run for a part of the requests only. */
@@ -56,16 +53,15 @@
     private static final int BODY = 1_024;
 
     private final Balancer.Settings settings;
-    private final SocketAddress front;
+    private final LocalAddress front = new LocalAddress("warmup");
     private final EventLoop loop;
     private final Promise<Void> done;
     private int sent;
     private int answered;
     private int asked;
 
-    private Warmup(Balancer.Settings settings, SocketAddress front, EventLoop loop) {
+    private Warmup(Balancer.Settings settings, EventLoop loop) {
         this.settings = settings;
-        this.front = front;
         this.loop = loop;
         this.done = loop.newPromise();
     }
@@ -76,15 +72,13 @@
      * @param mostMs it ends after this time, however few they are
      */
     static int run(Balancer.Settings settings, long mostMs) {
-        var group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-        Path dir = null;
+        var group = new MultiThreadIoEventLoopGroup(1, LocalIoHandler.newFactory());
         try {
-            dir = Files.createTempDirectory("warmup");
-            var warmup = new Warmup(settings, UnixDomainSocketAddress.of(dir.resolve("front")), group.next());
-            warmup.start(dir);
+            var warmup = new Warmup(settings, group.next());
+            warmup.start();
             warmup.done.await(mostMs);
             return warmup.loop.submit(() -> warmup.answered).get();
-        } catch (IOException | ExecutionException | RuntimeException e) {
+        } catch (ExecutionException | RuntimeException e) {
             System.err.println("not warmed up: " + e);
             return 0;
         } catch (InterruptedException e) {
@@ -92,29 +86,14 @@
             return 0;
         } finally {
             group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
-            remove(dir);
         }
     }
 
-    private static void remove(Path dir) {
-        if (dir == null) {
-            return;
-        }
-        try (var files = Files.newDirectoryStream(dir)) {
-            for (Path file : files) {
-                Files.delete(file);
-            }
-            Files.delete(dir);
-        } catch (IOException e) {
-            System.err.println("left behind by the warm-up: " + e);
-        }
-    }
-
-    private void start(Path dir) {
+    private void start() {
         var listed = new ArrayList<Backends.Listed>();
         for (int i = 0; i < BACKENDS; i++) {
-            SocketAddress address = UnixDomainSocketAddress.of(dir.resolve("backend" + i));
-            new ServerBootstrap().group(loop).channel(NioServerDomainSocketChannel.class)
+            var address = new LocalAddress("warmup" + i);
+            new ServerBootstrap().group(loop).channel(LocalServerChannel.class)
                     .childHandler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel channel) {
@@ -129,12 +108,12 @@
         var log = new Log();
         var sockets = new Sockets(DESCRIPTORS);
         var unlisted = unlisted();
-        var backends = new Backends(clock, loop, NioDomainSocketChannel.class, sockets,
+        var backends = new Backends(clock, loop, LocalChannel.class, sockets,
                 TimeUnit.MILLISECONDS.toMicros(MOST_MS), TimeUnit.MILLISECONDS.toMicros(MOST_MS));
         var proxy = new Proxy(clock, loop, log, unlisted, new Policy(unlisted), backends);
         var frontend = new Frontend(clock, log, proxy, sockets, unlisted, backends::anyReady);
         loop.submit(() -> proxy.members(Balancer.ListKind.FULL, listed)).syncUninterruptibly();
-        frontend.listen(loop, NioServerDomainSocketChannel.class, front).syncUninterruptibly();
+        frontend.listen(loop, LocalServerChannel.class, front).syncUninterruptibly();
         for (int i = 0; i < CLIENTS; i++) {
             connect();
         }
@@ -149,7 +128,7 @@
     }
 
     private void connect() {
-        new Bootstrap().group(loop).channel(NioDomainSocketChannel.class).handler(new ChannelInitializer<Channel>() {
+        new Bootstrap().group(loop).channel(LocalChannel.class).handler(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
                 channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(Backends.MAX_BODY),
--- a/src/test/java/beechfall/proxy/Program.java
+++ b/src/test/java/beechfall/proxy/Program.java
@@ -14,11 +14,14 @@
     private final Process process;
     final BufferedReader log;
 
-    /** Starts it with a folder of its own, which holds its configuration and whatever it leaves there. */
+    /**
+     * Starts it with a folder of its own, which holds its configuration and whatever it leaves there. It gets no place
+     * for temporary files: a socket in the file system would need one, and not every host leads anyone to those.
+     */
     Program(Path dir, ObjectNode config) throws IOException {
         file = dir.resolve("config.json");
         configure(config);
-        var command = new ProcessBuilder(ProcessHandle.current().info().command().orElseThrow(), "-Djava.io.tmpdir=" + dir,
+        var command = new ProcessBuilder(ProcessHandle.current().info().command().orElseThrow(), "-Djava.io.tmpdir=" + dir.resolve("none"),
                 "-cp", System.getProperty("java.class.path"), "beechfall.Main", "serve").redirectErrorStream(true);
         command.environment().put("PROXY_CONFIG", file.toString());
         process = command.start();
