Leave the warm-up out where cold code keeps up with a proxy's part of the traffic

Cause: Serve.main warms up whatever the traffic. One of 14 gets some 63 requests a second; cold code bears 250 on half a core. Now the settings tell: allowances / balancers against the part of a core (Warmup.needed). The tests also give the program a file where its temporary folder would be: a missing folder may be made by Netty.

--- a/src/main/java/beechfall/proxy/Config.java
+++ b/src/main/java/beechfall/proxy/Config.java
@@ -19,10 +19,11 @@
  * What a proxy is told at its start.
  *
  * @param known the backends as this proxy last had them, in discovery's form; null where there are none
+ * @param cores the part of a core that the process has
  * @param connIdleUs a backend closes a connection that has stood idle for so long
  */
-record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, int sockets, JsonNode known,
-        Balancer.Settings settings, long connIdleUs, long connectTimeoutUs) {
+record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, int sockets, double cores,
+        JsonNode known, Balancer.Settings settings, long connIdleUs, long connectTimeoutUs) {
 
     static final ObjectMapper JSON = new ObjectMapper();
 
@@ -54,6 +55,7 @@
         flatten("", settings, values);
         try {
             return new Config(text(json, "name"), address(json, "listen"), address(json, "discovery"), sockets(json),
+                    cores(json),
                     json.path("known").isObject() ? json.path("known") : null,
                     SettingsReader.read(values, seed(json)),
                     SettingsReader.whole(values, "bounds.conn_idle_us"),
@@ -112,6 +114,14 @@
         return limit.asInt();
     }
 
+    private static double cores(JsonNode json) throws BadConfig {
+        double cores = json.path("limits").path("cores").asDouble(1);
+        if (!(cores > 0)) {
+            throw new BadConfig("'limits.cores': a number above 0 is wanted");
+        }
+        return cores;
+    }
+
     /** Reads a numeric address and a port, or returns null: there is no DNS, and none is to be waited for. */
     static InetSocketAddress address(String text) {
         int colon = text.lastIndexOf(':');
--- a/src/main/java/beechfall/proxy/Serve.java
+++ b/src/main/java/beechfall/proxy/Serve.java
@@ -60,7 +60,8 @@
     public static void main(String[] args) {
         try {
             Path file = file();
-            Serve serve = warm(file);
+            Config config = Config.read(file);
+            Serve serve = Warmup.needed(config.settings(), config.cores()) ? warm(config) : new Serve(config);
             serve.start();
             Signals.handle("HUP", () -> serve.reconfigure(file));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
@@ -76,7 +77,7 @@
     /** Does all that a proxy does up to its first client, and ends: for the archive of classes that the build makes. */
     public static void rehearse() {
         try {
-            Serve serve = warm(file());
+            Serve serve = warm(Config.read(file()));
             serve.start();
             serve.stop();
         } catch (Config.BadConfig e) {
@@ -92,8 +93,7 @@
         return Path.of(file);
     }
 
-    private static Serve warm(Path file) throws Config.BadConfig {
-        Config config = Config.read(file);
+    private static Serve warm(Config config) {
         int served = Warmup.run(config.settings(), Warmup.MOST_MS);
         var serve = new Serve(config);
         serve.log.line("warmed up with " + served + " made-up requests");
--- a/src/main/java/beechfall/proxy/Warmup.java
+++ b/src/main/java/beechfall/proxy/Warmup.java
@@ -44,6 +44,8 @@
     static final int REQUESTS = 250;
     /** Ready late is better than ready cold, but not by much. */
     static final long MOST_MS = 6_000;
+    /** What a request takes of a core while the code is cold: half of a made-up one, which has its two ends here as well. */
+    private static final double COLD_US = 2_000;
     private static final int CLIENTS = 6;
     private static final int BACKENDS = 3;
     private static final int DESCRIPTORS = 256;
@@ -66,6 +68,16 @@
         this.done = loop.newPromise();
     }
 
+    /**
+     * Returns whether a proxy could fall behind its clients while its code is cold. One of many, whose part of the
+     * traffic is thin, could not: to it the warm-up is only time in which it is missing, with all the others that
+     * start together with it.
+     */
+    static boolean needed(Balancer.Settings settings, double cores) {
+        double perS = settings.tenants().stream().mapToDouble(Balancer.Tenant::quotaPerS).sum() / settings.balancers();
+        return settings.tenants().isEmpty() || perS * COLD_US > cores * TimeUnit.SECONDS.toMicros(1);
+    }
+
     /**
      * Returns how many made-up requests were answered; what goes wrong costs the warm-up alone, not the proxy.
      *
--- a/src/test/java/beechfall/proxy/Program.java
+++ b/src/test/java/beechfall/proxy/Program.java
@@ -7,21 +7,23 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
 
 /** The program as {@code run} starts it, in a process of its own. */
 final class Program implements Closeable {
     private final Path file;
     private final Process process;
-    final BufferedReader log;
+    private final BufferedReader log;
 
     /**
      * Starts it with a folder of its own, which holds its configuration and whatever it leaves there. It gets no place
-     * for temporary files: a socket in the file system would need one, and not every host leads anyone to those.
+     * for temporary files, but a file where the folder would be: a socket in the file system would need one, and not
+     * every host leads anyone to those.
      */
     Program(Path dir, ObjectNode config) throws IOException {
         file = dir.resolve("config.json");
         configure(config);
-        var command = new ProcessBuilder(ProcessHandle.current().info().command().orElseThrow(), "-Djava.io.tmpdir=" + dir.resolve("none"),
+        var command = new ProcessBuilder(ProcessHandle.current().info().command().orElseThrow(), "-Djava.io.tmpdir=" + file,
                 "-cp", System.getProperty("java.class.path"), "beechfall.Main", "serve").redirectErrorStream(true);
         command.environment().put("PROXY_CONFIG", file.toString());
         process = command.start();
@@ -32,9 +34,9 @@
         Files.writeString(file, config.toString());
     }
 
-    /** Waits for a line of its log; returns it, or null if the program has ended without it. */
-    String line(String part) {
-        return log.lines().filter(l -> l.contains(part)).findFirst().orElse(null);
+    /** Waits for a line of its log that a pattern is found in; returns it, or null if the program has ended without it. */
+    String line(String pattern) {
+        return log.lines().filter(Pattern.compile(pattern).asPredicate()).findFirst().orElse(null);
     }
 
     void signal(String name) throws Exception {
--- a/src/test/java/beechfall/proxy/WarmupTest.java
+++ b/src/test/java/beechfall/proxy/WarmupTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
@@ -16,11 +18,31 @@
         assertThat(Warmup.run(settings, TimeUnit.MINUTES.toMillis(5))).isGreaterThanOrEqualTo(Warmup.REQUESTS);
     }
 
-    /** The program as it is started: what it says first is how it was warmed up, and only then does it listen. */
+    /** 40 requests a second for each of two proxies, then 4,000: a tenth of a core takes in 50 while it is cold. */
     @Test
-    void listensOnlyOnceItIsWarm(@TempDir Path dir) throws Exception {
+    void isLeftOutWhereColdCodeKeepsUpWithTheTraffic() throws Exception {
+        assertThat(Warmup.needed(Config.parse(config(80)).settings(), 0.1)).isFalse();
+        assertThat(Warmup.needed(Config.parse(config(8_000)).settings(), 0.1)).isTrue();
+    }
+
+    @Test
+    void aProxyOfManyListensAtOnce(@TempDir Path dir) throws Exception {
         try (var program = new Program(dir, Fixture.config())) {
-            assertThat(program.log.readLine()).matches("warmed up with [1-9]\\d* made-up requests");
+            assertThat(program.line("warmed up|listening")).startsWith("n0: listening");
+        }
+    }
+
+    private static ObjectNode config(int allowancePerS) throws IOException {
+        ObjectNode config = Fixture.config();
+        ((ObjectNode) config.path("settings").path("projects").path(0)).put("allowance_per_s", allowancePerS);
+        return config;
+    }
+
+    /** The program as it is started: how it was warmed up comes first, and only then does it listen. */
+    @Test
+    void listensOnlyOnceItIsWarm(@TempDir Path dir) throws Exception {
+        try (var program = new Program(dir, config(8_000))) {
+            assertThat(program.line("warmed up|listening")).matches("warmed up with [1-9]\\d* made-up requests");
             assertThat(program.line("listening")).startsWith("n0: ");
             try (var left = Files.list(dir)) {
                 assertThat(left).containsExactly(dir.resolve("config.json"));
