Count cold servers by their warmth in the crowd, so that warm ones aren't sent their part

The refusals' lines showed "room" at its floor: 3 attempts out for each listed server over all proxies. Cause: Policy.crowd counts a cold server's 3 in full. Its cold budget keeps it from taking them, so all of the room was used on the warm ones: 5 out at each, 14 proxies doing the same. The floor now goes by warmth, at least one each.

--- a/src/main/java/beechfall/Policy.java
+++ b/src/main/java/beechfall/Policy.java
@@ -529,7 +529,9 @@
         // With less than a backend to itself, a proxy tells a crowd from bad luck by how much it refuses.
         double share = servers.size() / (double) settings.balancers();
         double cores = Math.min(CROWD_FLOOR, Math.max(1, borne * settings.balancers() * idleUs));
-        return Math.max(byRate, share * (CROWD_FLOOR + (share < 1 ? cores * (1 - refused) - refused : 0)));
+        // Cold backends can't take their part of a crowd: counted in full, it would all go to the warm ones.
+        double warm = servers.stream().mapToDouble(s -> Math.max(1 / CROWD_FLOOR, warmth(s))).average().orElse(1);
+        return Math.max(byRate, warm * share * (CROWD_FLOOR + (share < 1 ? cores * (1 - refused) - refused : 0)));
     }
 
     private double answerRate() {
