Put a server off as a whole when it times out, not for one class and tenant alone

One server's log has time-out after time-out from the same four proxies, 0.1 to 0.5 s apart. Cause: Policy.attemptEnded judged a time-out for the request's flow only, a class of one tenant. With eight flows and one or two requests a second to a server, each of them finds out anew, and at every proxy. Now it counts for the server, unless the request's own cost explains at least half of the time to its aim.

--- a/src/main/java/beechfall/Policy.java
+++ b/src/main/java/beechfall/Policy.java
@@ -448,11 +448,16 @@
      * the answer would be worth nothing, and the work would keep many others waiting.
      */
     private boolean inTime(Server s, Request r) {
-        double workUs = r.costUs * s.kind.perCost(now, PAUSES * refreshUs);
+        double workUs = workUs(s, r);
         return workUs == 0 || now >= r.aimAt
                 || now + workUs * Math.max(1, responseUs(s) / s.kind.meanUs) <= r.aimAt;
     }
 
+    /** What a request takes of a backend of that kind which does nothing else; 0 where that is not known. */
+    private double workUs(Server s, Request r) {
+        return r.costUs * s.kind.perCost(now, PAUSES * refreshUs);
+    }
+
     /** The backend where a key is likely to be warm: all proxies find the same one, by rendezvous hashing. */
     private Server home(String key) {
         return servers.stream().max(Comparator.comparingInt(s -> mix(key.hashCode() ^ s.id.hashCode())))
@@ -579,9 +584,10 @@
         r.out--;
         releaseUnlessReady(a.server);
         boolean ok = e.outcome() == Outcome.OK;
-        // What cannot be reached fails for all; any other failure tells of the flow alone.
+        // What cannot be reached, or says nothing for long, fails for all; any other failure tells of the flow alone.
         if (e.outcome() != Outcome.CANCELLED && e.outcome() != Outcome.NOT_SENT) {
-            a.server.whole.judge(e.outcome() != Outcome.CONNECT_FAILED, now, refreshUs);
+            boolean silent = e.outcome() == Outcome.TIMEOUT && workUs(a.server, r) < a.timeoutUs / LATE / 2;
+            a.server.whole.judge(e.outcome() != Outcome.CONNECT_FAILED && !silent, now, refreshUs);
             a.server.flows[r.flow].judge(ok, now, refreshUs);
             learn(a.server, ok ? e.latencyUs() : e.outcome() == Outcome.ERROR ? r.type.aimUs() : a.timeoutUs);
         }
--- a/src/test/java/beechfall/CrowdTest.java
+++ b/src/test/java/beechfall/CrowdTest.java
@@ -34,6 +34,19 @@
         assertThat(sent + refused).isLessThan(100);
     }
 
+    /** A class and tenant alone sees too little of a backend, where traffic is thin: others needn't find out again. */
+    @Test
+    void aBackendThatLetsOneClassWaitForNothingIsPutOffForAll() {
+        proxy.list(backend("a"), backend("b"), backend("c"), backend("d"));
+        String pay = proxy.arrive(PAY);
+        String silent = proxy.lastSend(pay).backend();
+        proxy.run(800 * MS);
+        proxy.end(pay, Outcome.TIMEOUT, 800 * MS);
+        for (int i = 0; i < 20; i++) {
+            assertThat(proxy.serve(READ, 10 * MS)).isNotEqualTo(silent);
+        }
+    }
+
     @Test
     void theDearestHeldRequestGoesFirst() {
         proxy.list(backend("a"));
