Be ready on the known list once discovery's first answer is 300 ms late

Cause: Serve held /ready back until Discovery.heard, the end of the first call. Discovery is one service for all and answers ten calls in turn; one of 14 got a 503 after two seconds. The known list serves meanwhile, as it does whenever discovery is down: a server that is gone costs a further attempt.

--- a/src/main/java/beechfall/proxy/Discovery.java
+++ b/src/main/java/beechfall/proxy/Discovery.java
@@ -43,6 +43,11 @@
     /** An answer that is later than this, beyond the time it may wait, is not coming: the other end is silent. */
     private static final long SILENCE_MS = 4_000;
     private static final long MOST_HOLD_MS = 60_000;
+    /**
+     * The first call is waited for so long; then the list of the last life will do. Where many proxies start at once,
+     * discovery answers one after the other, and all that wait for it are missing to their clients.
+     */
+    static final long FIRST_ANSWER_MS = 300;
     private static final long NO_NEWS_MS = 50;
     private static final long AGENT_RETRY_MS = 200;
     private static final Map<String, Balancer.State> STATES = Map.of(
@@ -60,7 +65,7 @@
     private boolean wanted;
     private Call watch;
     private long version = -1;
-    private boolean heard;
+    private boolean settled;
 
     Discovery(EventLoop loop, Log log, Proxy proxy, InetSocketAddress address, Balancer.Settings settings) {
         this.loop = loop;
@@ -73,9 +78,9 @@
         this.holdMs = Math.min(MOST_HOLD_MS, 2 * settings.rules().askWithinUs() / 1_000);
     }
 
-    /** Returns whether a first call has ended: until then the list is as old as the last life of this proxy. */
-    boolean heard() {
-        return heard;
+    /** Returns whether a first call has ended, or was waited for long enough, and the list is the best there is. */
+    boolean settled() {
+        return settled;
     }
 
     /** Takes in the list that this proxy had in its last life, if any; the module begins with this. */
@@ -83,6 +88,7 @@
         if (list != null) {
             version = list.path("version").asLong(-1);
         }
+        loop.schedule(() -> settled = true, FIRST_ANSWER_MS, TimeUnit.MILLISECONDS);
         take(ListKind.CACHED, list == null ? Config.JSON.createObjectNode() : list);
         if (pushed) {
             watch(true);
@@ -122,7 +128,7 @@
     }
 
     private void answered(Call call, JsonNode list) {
-        heard = true;
+        settled = true;
         if (list == null) {
             watch = call == watch ? null : watch;
             failed();
--- a/src/main/java/beechfall/proxy/Serve.java
+++ b/src/main/java/beechfall/proxy/Serve.java
@@ -49,7 +49,7 @@
         proxy = new Proxy(clock, loop, log, settings, module, backends);
         discovery = new Discovery(loop, log, proxy, config.discovery(), settings);
         proxy.discovery(discovery);
-        frontend = new Frontend(clock, log, proxy, sockets, settings, () -> discovery.heard() && backends.anyReady());
+        frontend = new Frontend(clock, log, proxy, sockets, settings, () -> discovery.settled() && backends.anyReady());
     }
 
     /**
