Add a door for operators, and exclusions that hold whatever discovery says

Now OperatorDoor answers readyz, exclude and include on the loop that serves, from before the warm-up on; Exclusions keeps each one as an empty file under $TMPDIR and tells module and network code. A backend given back is new to the module and cold from that moment. The warm-up, too, writes where $TMPDIR says and not where the JDK thinks.

--- a/src/main/java/beechfall/Balancer.java
+++ b/src/main/java/beechfall/Balancer.java
@@ -118,11 +118,18 @@
     }
 
     /** Something that happened to the proxy. */
-    sealed interface Event permits Members, Arrival, StreamStarted, AttemptEnded, ClientGone, TimerFired, ProbeEnded { }
+    sealed interface Event permits Members, Excluded, Included, Arrival, StreamStarted,
+            AttemptEnded, ClientGone, TimerFired, ProbeEnded { }
 
     /** News of the server list. A backend missing from a full list is gone. */
     record Members(ListKind kind, List<Backend> backends) implements Event { }
 
+    /** The operators take a backend out: until {@link Included} it gets nothing new, whatever the list says. */
+    record Excluded(String backend) implements Event { }
+
+    /** The operators give a backend back. It was restarted meanwhile, whether or not the list has told so yet. */
+    record Included(String backend) implements Event { }
+
     /**
      * A client's request; {@code key} and {@code tenant} may be null, {@code leftUs} is the client's patience and
      * {@code costUs} a guess at its work on a standard core, 0 where there is none.
--- a/src/main/java/beechfall/Policy.java
+++ b/src/main/java/beechfall/Policy.java
@@ -4,9 +4,11 @@
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 
@@ -56,6 +58,9 @@
     private final Kind all = new Kind();
     private final Map<String, Server> byId = new HashMap<>();
     private final List<Server> servers = new ArrayList<>();
+    private final Set<String> excluded = new HashSet<>();
+    /** When the operators gave a backend back, until it is warm again. */
+    private final Map<String, Long> includedAt = new HashMap<>();
     private final Map<String, Request> requests = new HashMap<>();
     private final long refreshUs;
     private final int flowsOfClass;
@@ -189,6 +194,7 @@
         private final Trust whole = new Trust();
         private final Trust[] flows;
         private boolean ready;
+        private long startedAt;
         private long coldTokensAt;
 
         Server(String id, int flows) {
@@ -268,6 +274,10 @@
             ask();
         } else if (event instanceof Members e) {
             members(e);
+        } else if (event instanceof Excluded e) {
+            exclude(e.backend());
+        } else if (event instanceof Included e && excluded.remove(e.backend())) {
+            include(e.backend());
         } else if (event instanceof ClientGone e && requests.containsKey(e.id())) {
             close(requests.get(e.id()));
         }
@@ -287,12 +297,17 @@
             failedAsks = 0;
             askAt = Long.MAX_VALUE;
         }
+        take(news.kind(), news.backends());
+    }
+
+    private void take(ListKind kind, List<Backend> news) {
         List<Server> before = List.copyOf(servers);
-        if (news.kind() != ListKind.DELTA) {
+        if (kind != ListKind.DELTA) {
             servers.forEach(s -> s.ready = false);
             servers.clear();
         }
-        for (Backend b : news.backends()) {
+        var takenOut = new HashSet<Server>();
+        for (Backend b : news) {
             Server s = byId.computeIfAbsent(b.id(), id -> new Server(id, classes.size() * flowsOfClass));
             if (s.listed == null || b.startedAtUs() != s.listed.startedAtUs()) {
                 s.ownUs = s.ownSamples = 0;
@@ -301,21 +316,45 @@
                 s.coldTokensAt = now;
             }
             s.listed = b;
+            s.startedAt = Math.max(b.startedAtUs(), includedAt.getOrDefault(b.id(), 0L));
             s.near = settings.zone().equals(b.zone()) ? NEAR : 1;
             s.kind = kinds.computeIfAbsent(String.valueOf(b.kind()), name -> new Kind());
-            s.ready = b.state() == State.READY;
+            s.ready = b.state() == State.READY && !excluded.contains(b.id());
             servers.remove(s);
             if (s.ready) {
                 servers.add(s);
+            } else if (b.state() == State.READY) {
+                takenOut.add(s);
             }
         }
         before.forEach(this::releaseUnlessReady);
-        if (news.kind() != ListKind.DELTA) {
-            byId.values().retainAll(servers);
+        if (kind != ListKind.DELTA) {
+            byId.values().removeIf(s -> !s.ready && !takenOut.contains(s));
         }
         refresh();
     }
 
+    /** A backend taken out is kept in mind, as the list may go on naming it and need not when it is given back. */
+    private void exclude(String id) {
+        excluded.add(id);
+        Server s = byId.get(id);
+        if (s != null && s.ready) {
+            s.ready = false;
+            servers.remove(s);
+            releaseUnlessReady(s);
+            refresh();
+        }
+    }
+
+    /** Nothing that was seen of a backend before it was taken out holds of the cold one that comes back. */
+    private void include(String id) {
+        includedAt.put(id, now);
+        Server before = byId.get(id);
+        if (before != null && before.listed.state() == State.READY) {
+            take(ListKind.DELTA, List.of(byId.remove(id).listed));
+        }
+    }
+
     /** Rule 6: no idle connection is kept to a backend that drains or is gone: nobody has a use for it. */
     private void releaseUnlessReady(Server s) {
         if (!s.ready) {
@@ -347,11 +386,10 @@
 
     /** Returns the part of its capacity that a backend is sure to have: 1 once it is warm. */
     private double warmth(Server s) {
-        long started = s.listed.startedAtUs();
-        if (started <= 0 || now - started >= rules.coldUs()) {
+        if (s.startedAt <= 0 || now - s.startedAt >= rules.coldUs()) {
             return 1;
         }
-        return rules.coldFrom() + (1 - rules.coldFrom()) * Math.max(0, now - started) / rules.coldUs();
+        return rules.coldFrom() + (1 - rules.coldFrom()) * Math.max(0, now - s.startedAt) / rules.coldUs();
     }
 
     // Weights
@@ -359,6 +397,7 @@
     /** Sets w = c / sum of c and starts the earliest-deadline order afresh, once in twice the longest aim. */
     private void refresh() {
         refreshAt = now + refreshUs;
+        includedAt.values().removeIf(at -> now - at >= rules.coldUs());
         // A kind without answers yet goes by its list weight, in the unit of the kinds that have some.
         double scale = servers.stream().filter(s -> s.kind.samples > 0)
                 .mapToDouble(s -> 1 / (s.kind.meanUs * s.listed.weight())).average().orElse(1);
--- a/src/main/java/beechfall/proxy/Backends.java
+++ b/src/main/java/beechfall/proxy/Backends.java
@@ -69,6 +69,9 @@
     private final Bootstrap bootstrap;
     private final long idleUs;
     private final Map<String, Target> targets = new HashMap<>();
+    /** All that the list names, whatever it says of them. */
+    private final Set<String> named = new HashSet<>();
+    private final Set<String> excluded = new HashSet<>();
 
     Backends(Clock clock, EventLoop loop, Class<? extends Channel> transport, Sockets sockets, long connIdleUs,
             long connectTimeoutUs) {
@@ -83,7 +86,7 @@
 
     /** Returns whether there is a backend to send to. */
     boolean anyReady() {
-        return targets.values().stream().anyMatch(t -> t.ready);
+        return targets.values().stream().anyMatch(Target::open);
     }
 
     /**
@@ -93,9 +96,15 @@
      */
     List<Attempt> update(Balancer.ListKind kind, List<Listed> listed) {
         var unsent = new ArrayList<Attempt>();
-        var named = new HashSet<String>();
+        if (kind != Balancer.ListKind.DELTA) {
+            named.clear();
+        }
         for (Listed l : listed) {
-            named.add(l.backend().id());
+            if (l.backend().state() == Balancer.State.GONE) {
+                named.remove(l.backend().id());
+            } else {
+                named.add(l.backend().id());
+            }
             Target target = targets.get(l.backend().id());
             if (target == null || !target.address.equals(l.address())) {
                 if (target != null) {
@@ -103,7 +112,7 @@
                     target.ready = false;
                     unsent.addAll(target.stopped());
                 }
-                target = new Target(l.address());
+                target = new Target(l.backend().id(), l.address());
                 targets.put(l.backend().id(), target);
             }
             target.ready = l.backend().state() == Balancer.State.READY;
@@ -120,6 +129,22 @@
         return unsent;
     }
 
+    /** Returns whether the list names a backend, or the operators have taken it out. */
+    boolean knows(String id) {
+        return named.contains(id) || excluded.contains(id);
+    }
+
+    /** Takes a backend out, whatever the list says; returns the attempts that are to be stopped, as for a drain. */
+    List<Attempt> exclude(String id) {
+        excluded.add(id);
+        Target target = targets.get(id);
+        return target == null ? List.of() : target.stopped();
+    }
+
+    void include(String id) {
+        excluded.remove(id);
+    }
+
     /** Closes the idle connections to a backend. */
     void release(String id) {
         Target target = targets.get(id);
@@ -131,7 +156,7 @@
     /** Returns an attempt that is yet to be started, or null where there is no such backend or no socket left. */
     Attempt attempt(String id, Outgoing outgoing, long timeoutUs, End end) {
         Target target = targets.get(id);
-        if (target == null || !target.ready || !target.pool.hasIdle() && !sockets.roomForBackend()) {
+        if (target == null || !target.open() || !target.pool.hasIdle() && !sockets.roomForBackend()) {
             return null;
         }
         return new Attempt(target, outgoing, timeoutUs, end);
@@ -139,12 +164,14 @@
 
     /** One backend. */
     private final class Target {
+        private final String id;
         private final SocketAddress address;
         private final Pool pool;
         private final Set<Attempt> out = new LinkedHashSet<>();
         private boolean ready;
 
-        Target(SocketAddress address) {
+        Target(String id, SocketAddress address) {
+            this.id = id;
             this.address = address;
             this.pool = new Pool(bootstrap.clone().remoteAddress(address), new AbstractChannelPoolHandler() {
                 @Override
@@ -158,6 +185,11 @@
             });
         }
 
+        /** Returns whether it may be sent anything new. */
+        boolean open() {
+            return ready && !excluded.contains(id);
+        }
+
         /** Closes what is idle; returns the attempts that have not been written whole and so never ran. */
         List<Attempt> stopped() {
             pool.closeIdle();
@@ -384,7 +416,7 @@
             try {
                 boolean sound = readable(response);
                 // Back into the pool before the module hears: what it sends next may take this very connection.
-                if (sound && a.written && HttpUtil.isKeepAlive(response) && target.ready && ctx.channel().isActive()
+                if (sound && a.written && HttpUtil.isKeepAlive(response) && target.open() && ctx.channel().isActive()
                         && decoder.isEmpty()) {
                     target.pool.release(ctx.channel());
                 } else {
--- a/src/main/java/beechfall/proxy/Config.java
+++ b/src/main/java/beechfall/proxy/Config.java
@@ -18,12 +18,13 @@
 /**
  * What a proxy is told at its start.
  *
+ * @param operator where the operators call; null where they don't
  * @param known the backends as this proxy last had them, in discovery's form; null where there are none
  * @param cores the part of a core that the process has
  * @param connIdleUs a backend closes a connection that has stood idle for so long
  */
-record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, int sockets, double cores,
-        JsonNode known, Balancer.Settings settings, long connIdleUs, long connectTimeoutUs) {
+record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress operator,
+        int sockets, double cores, JsonNode known, Balancer.Settings settings, long connIdleUs, long connectTimeoutUs) {
 
     static final ObjectMapper JSON = new ObjectMapper();
 
@@ -54,8 +55,8 @@
         var values = new HashMap<String, String>();
         flatten("", settings, values);
         try {
-            return new Config(text(json, "name"), address(json, "listen"), address(json, "discovery"), sockets(json),
-                    cores(json),
+            return new Config(text(json, "name"), address(json, "listen"), address(json, "discovery"),
+                    json.has("operator") ? address(json, "operator") : null, sockets(json), cores(json),
                     json.path("known").isObject() ? json.path("known") : null,
                     SettingsReader.read(values, seed(json)),
                     SettingsReader.whole(values, "bounds.conn_idle_us"),
--- a/src/main/java/beechfall/proxy/Frontend.java
+++ b/src/main/java/beechfall/proxy/Frontend.java
@@ -128,6 +128,11 @@
         latestDeadline = answeredBy;
     }
 
+    /** Returns whether clients may be sent here. */
+    boolean ready() {
+        return listener != null && !draining && ready.getAsBoolean();
+    }
+
     void stopListening() {
         listener.close();
     }
@@ -358,7 +363,7 @@
             try {
                 var uri = new QueryStringDecoder(request.uri());
                 if (uri.rawPath().equals("/ready")) {
-                    answer(ready.getAsBoolean() && !draining ? plain(HttpResponseStatus.OK, "ready")
+                    answer(ready() ? plain(HttpResponseStatus.OK, "ready")
                             : plain(HttpResponseStatus.SERVICE_UNAVAILABLE, "not ready"));
                     return;
                 }
--- a/src/main/java/beechfall/proxy/Proxy.java
+++ b/src/main/java/beechfall/proxy/Proxy.java
@@ -131,6 +131,24 @@
         unsent.forEach(a -> a.abort(Outcome.NOT_SENT));
     }
 
+    /** Returns whether the operators may speak of a backend by this id. */
+    boolean knowsBackend(String id) {
+        return backends.knows(id);
+    }
+
+    /** The operators take a backend out. */
+    void excluded(String backend) {
+        List<Backends.Attempt> unsent = backends.exclude(backend);
+        deliver(new Balancer.Excluded(backend));
+        unsent.forEach(a -> a.abort(Outcome.NOT_SENT));
+    }
+
+    /** The operators give a backend back. */
+    void included(String backend) {
+        backends.include(backend);
+        deliver(new Balancer.Included(backend));
+    }
+
     private void ended(Request r, int number, String backend, Outcome outcome, long latencyUs,
             Backends.Answer answer) {
         r.out--;
--- a/src/main/java/beechfall/proxy/Serve.java
+++ b/src/main/java/beechfall/proxy/Serve.java
@@ -10,6 +10,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -27,21 +28,27 @@
     /** What is taken is answered so long before the end: the answer is to be written as well. */
     private static final long WRITING_MS = 100;
 
+    /** The folder, among what the process may write, where the exclusions stand. */
+    private static final String EXCLUDED = "excluded";
+
     private final Config config;
+    private final Surroundings surroundings;
     private final Log log = new Log();
     private final Clock clock = new Clock();
     private final EventLoop loop;
     private final Proxy proxy;
     private final Discovery discovery;
     private final Frontend frontend;
+    private final Exclusions exclusions;
     private final CountDownLatch drained = new CountDownLatch(1);
 
-    Serve(Config config) {
-        this(config, new Policy(config.settings()));
+    Serve(Config config, Surroundings surroundings) {
+        this(config, surroundings, new Policy(config.settings()));
     }
 
-    Serve(Config config, Balancer module) {
+    Serve(Config config, Surroundings surroundings, Balancer module) {
         this.config = config;
+        this.surroundings = surroundings;
         loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         var settings = config.settings();
         var sockets = new Sockets(config.sockets());
@@ -50,6 +57,7 @@
         discovery = new Discovery(loop, log, proxy, config.discovery(), settings);
         proxy.discovery(discovery);
         frontend = new Frontend(clock, log, proxy, sockets, settings, () -> discovery.settled() && backends.anyReady());
+        exclusions = new Exclusions(loop, log, proxy, surroundings.temp().resolve(EXCLUDED));
     }
 
     /**
@@ -61,8 +69,12 @@
         try {
             Path file = file();
             Config config = Config.read(file);
-            Serve serve = Warmup.needed(config.settings(), config.cores()) ? warm(config) : new Serve(config);
-            serve.start();
+            Serve serve = new Serve(config, Surroundings.of(System.getenv(), config));
+            serve.begin();
+            if (Warmup.needed(config.settings(), config.cores())) {
+                serve.warmUp();
+            }
+            serve.listen();
             Signals.handle("HUP", () -> serve.reconfigure(file));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 serve.drain();
@@ -77,8 +89,11 @@
     /** Does all that a proxy does up to its first client, and ends: for the archive of classes that the build makes. */
     public static void rehearse() {
         try {
-            Serve serve = warm(Config.read(file()));
-            serve.start();
+            Config config = Config.read(file());
+            Serve serve = new Serve(config, Surroundings.of(System.getenv(), config));
+            serve.begin();
+            serve.warmUp();
+            serve.listen();
             serve.stop();
         } catch (Config.BadConfig e) {
             exit(e);
@@ -93,11 +108,9 @@
         return Path.of(file);
     }
 
-    private static Serve warm(Config config) {
-        int served = Warmup.run(config.settings(), Warmup.CLIENTS, Warmup.FIRST_MS, Warmup.MOST_MS);
-        var serve = new Serve(config);
-        serve.log.line("warmed up with " + served + " made-up requests");
-        return serve;
+    private void warmUp() {
+        int served = Warmup.run(config.settings(), surroundings.temp(), Warmup.CLIENTS, Warmup.FIRST_MS, Warmup.MOST_MS);
+        loop.execute(() -> log.line("warmed up with " + served + " made-up requests"));
     }
 
     private static void exit(Config.BadConfig e) {
@@ -105,18 +118,33 @@
         System.exit(2);
     }
 
-    /** Begins to serve; returns the address. */
-    InetSocketAddress start() throws Config.BadConfig {
+    /** Learns of the backends, and hears the operators; returns where, or null where they don't call. */
+    InetSocketAddress begin() throws Config.BadConfig {
         loop.execute(() -> discovery.known(config.known()));
-        ChannelFuture bound = frontend.listen(loop, NioServerSocketChannel.class, config.listen()).awaitUninterruptibly();
-        if (!bound.isSuccess()) {
-            throw new Config.BadConfig("'listen': " + bound.cause().getMessage());
+        if (surroundings.operator() == null) {
+            return null;
         }
-        var address = (InetSocketAddress) bound.channel().localAddress();
+        loop.execute(exclusions::start);
+        var door = new OperatorDoor(log, frontend::ready, exclusions);
+        return bound("operator", () -> door.listen(loop, surroundings.operator()));
+    }
+
+    /** Begins to serve; returns the address. */
+    InetSocketAddress listen() throws Config.BadConfig {
+        InetSocketAddress address = bound("listen",
+                () -> frontend.listen(loop, NioServerSocketChannel.class, config.listen()));
         loop.execute(() -> log.line(config.name() + ": listening on " + address.getPort()));
         return address;
     }
 
+    private InetSocketAddress bound(String field, Callable<ChannelFuture> listen) throws Config.BadConfig {
+        ChannelFuture bound = loop.submit(listen).syncUninterruptibly().getNow();
+        if (!bound.awaitUninterruptibly().isSuccess()) {
+            throw new Config.BadConfig("'" + field + "': " + bound.cause().getMessage());
+        }
+        return (InetSocketAddress) bound.channel().localAddress();
+    }
+
     /** Takes over what may change while the proxy runs: where discovery is. A file that is no good changes nothing. */
     void reconfigure(Path file) {
         loop.execute(() -> {
--- a/src/main/java/beechfall/proxy/Warmup.java
+++ b/src/main/java/beechfall/proxy/Warmup.java
@@ -88,15 +88,16 @@
     /**
      * Returns how many made-up requests were answered; what goes wrong costs the warm-up alone, not the proxy.
      *
+     * @param temp a folder that may be written
      * @param clients so many ask
      * @param firstMs it ends after this time if none was answered
      * @param mostMs it ends after this time, however few they are
      */
-    static int run(Balancer.Settings settings, int clients, long firstMs, long mostMs) {
+    static int run(Balancer.Settings settings, Path temp, int clients, long firstMs, long mostMs) {
         var group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         Path dir = null;
         try {
-            dir = Files.createTempDirectory("warmup");
+            dir = Files.createTempDirectory(temp, "warmup");
             var warmup = new Warmup(settings, UnixDomainSocketAddress.of(dir.resolve("front")), group.next());
             warmup.start(dir, clients);
             if (!warmup.done.await(firstMs) && warmup.soFar() > 0) {
--- /dev/null
+++ b/src/test/java/beechfall/ExclusionTest.java
@@ -0,0 +1,91 @@
+package beechfall;
+
+import static beechfall.Proxy.MS;
+import static beechfall.Proxy.READ;
+import static beechfall.Proxy.S;
+import static beechfall.Proxy.backend;
+import static beechfall.Proxy.started;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import beechfall.Balancer.Excluded;
+import beechfall.Balancer.Included;
+import beechfall.Balancer.ListKind;
+import beechfall.Balancer.Members;
+import beechfall.Balancer.Outcome;
+import beechfall.Balancer.Release;
+import beechfall.Balancer.State;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** A backend that the operators take out and give back. */
+class ExclusionTest {
+    /** A cold backend bears little: one that got its half of what these tests send would fall over. */
+    private final Proxy proxy = new Proxy(Proxy.settings(Proxy.LIMITS, new Balancer.Rules(0.1, 8 * S, 2, S, 10 * S, false)));
+
+    private List<String> serve(int requests) {
+        var backends = new ArrayList<String>();
+        for (int i = 0; i < requests; i++) {
+            backends.add(proxy.serve(READ, 10 * MS));
+        }
+        return backends;
+    }
+
+    @Test
+    void getsNothingWhateverTheListSays() {
+        proxy.list(backend("a"), backend("b"));
+        assertThat(serve(10)).contains("a");
+        assertThat(proxy.feed(new Excluded("a"))).contains(new Release("a"));
+        assertThat(serve(10)).containsOnly("b");
+        proxy.list(backend("a"), backend("b"));
+        assertThat(serve(10)).containsOnly("b");
+        proxy.feed(new Members(ListKind.DELTA, List.of(Proxy.in(State.DRAINING, "a"))));
+        proxy.feed(new Members(ListKind.DELTA, List.of(started("a", proxy.now))));
+        assertThat(serve(10)).containsOnly("b");
+    }
+
+    /** The list need not name it again for that, and it comes back cold: it gets some, and far from its half. */
+    @Test
+    void comesBackColdWithoutNewsOfTheList() {
+        proxy.list(backend("a"), backend("b"));
+        serve(40);
+        proxy.feed(new Excluded("a"));
+        proxy.feed(new Excluded("a"));
+        serve(40);
+        proxy.feed(new Included("a"));
+        List<String> after = serve(100);
+        assertThat(after).contains("a");
+        assertThat(after.stream().filter("a"::equals).count()).isLessThan(40);
+        proxy.now += 9 * S;
+        serve(1);
+        assertThat(serve(100).stream().filter("a"::equals).count()).isBetween(45L, 55L);
+    }
+
+    /** What it did before it was restarted tells nothing, not even that it was ill. */
+    @Test
+    void isNotPutOffForWhatItDidBefore() {
+        proxy.list(backend("a"), backend("b"));
+        String id = proxy.arrive(READ);
+        String ill = proxy.lastSend(id).backend();
+        proxy.end(id, Outcome.CONNECT_FAILED, 10 * MS);
+        proxy.end(id, Outcome.OK, 10 * MS);
+        assertThat(serve(5)).doesNotContain(ill);
+        proxy.feed(new Excluded(ill));
+        proxy.feed(new Included(ill));
+        assertThat(serve(60)).contains(ill);
+    }
+
+    @Test
+    void oneThatTheListNamesOnlyLaterIsColdAllTheSame() {
+        proxy.list(backend("a"), backend("b"));
+        serve(40);
+        proxy.feed(new Excluded("a"));
+        proxy.list(backend("b"));
+        proxy.feed(new Included("a"));
+        assertThat(serve(5)).containsOnly("b");
+        proxy.list(backend("a"), backend("b"));
+        List<String> after = serve(100);
+        assertThat(after).contains("a");
+        assertThat(after.stream().filter("a"::equals).count()).isLessThan(40);
+    }
+}
--- a/src/test/java/beechfall/proxy/Fixture.java
+++ b/src/test/java/beechfall/proxy/Fixture.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.Closeable;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.concurrent.BlockingQueue;
@@ -39,6 +40,7 @@
     final Peer discovery = new Peer();
     private final Serve serve;
     final InetSocketAddress address;
+    private final InetSocketAddress operator;
 
     /** Does as the module would: gets the events, and says what is to be done. */
     interface Module {
@@ -60,6 +62,17 @@
 
     private Fixture(Function<Balancer.Settings, Balancer> factory, int sockets, long idleUs, Peer... backends)
             throws Exception {
+        this(factory, sockets, idleUs, null, backends);
+    }
+
+    /** One that the operators call, and that may write to a folder; it has the module that the test says, or its own. */
+    static Fixture operated(Module module, Path temp, Peer... backends) throws Exception {
+        return new Fixture(module == null ? Policy::new : settings -> (now, event, actions) -> module.handle(event, actions),
+                1_024, 15_000_000, temp, backends);
+    }
+
+    private Fixture(Function<Balancer.Settings, Balancer> factory, int sockets, long idleUs, Path temp, Peer... backends)
+            throws Exception {
         var servers = new StringBuilder();
         for (int i = 0; i < backends.length; i++) {
             servers.append(i == 0 ? "" : ",").append(entry("s" + i, backends[i].address(), "ready"));
@@ -67,11 +80,14 @@
         String json = CONFIG.formatted(discovery.address(), sockets, servers, idleUs);
         Config config = Config.parse(Config.JSON.readTree(json));
         Balancer module = factory.apply(config.settings());
-        serve = new Serve(config, (now, event, actions) -> {
+        var nowhere = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        serve = new Serve(config, new Surroundings(temp == null ? null : nowhere,
+                temp == null ? Path.of("/nonexistent") : temp), (now, event, actions) -> {
             events.add(event);
             module.handle(now, event, actions);
         });
-        address = serve.start();
+        operator = serve.begin();
+        address = serve.listen();
     }
 
     static ObjectNode config() throws IOException {
@@ -118,6 +134,18 @@
         return Wire.to(address);
     }
 
+    /** Connects as the operators do. */
+    Wire door() throws IOException {
+        return Wire.to(operator);
+    }
+
+    /** Makes a call of the operators; returns all that comes back. */
+    String call(String line) throws IOException {
+        try (Wire door = door()) {
+            return door.send(line).rest();
+        }
+    }
+
     /** Waits for the next event of a type. */
     <T extends Event> T next(Class<T> type) throws InterruptedException {
         while (true) {
--- a/src/test/java/beechfall/proxy/Program.java
+++ b/src/test/java/beechfall/proxy/Program.java
@@ -19,9 +19,9 @@
     Program(Path dir, ObjectNode config) throws IOException {
         file = dir.resolve("config.json");
         configure(config);
-        var command = new ProcessBuilder(ProcessHandle.current().info().command().orElseThrow(), "-Djava.io.tmpdir=" + dir,
-                "-cp", System.getProperty("java.class.path"), "beechfall.Main", "serve").redirectErrorStream(true);
+        var command = new ProcessBuilder(ProcessHandle.current().info().command().orElseThrow(), "-cp", System.getProperty("java.class.path"), "beechfall.Main", "serve").redirectErrorStream(true);
         command.environment().put("PROXY_CONFIG", file.toString());
+        command.environment().put("TMPDIR", dir.toString());
         process = command.start();
         log = process.inputReader();
     }
--- a/src/test/java/beechfall/proxy/WarmupTest.java
+++ b/src/test/java/beechfall/proxy/WarmupTest.java
@@ -14,18 +14,18 @@
 /** The code that the first clients meet has run before, and nothing of that is left. */
 class WarmupTest {
     @Test
-    void servesAsManyMadeUpRequestsAsItTakesToCompileTheirCode() throws Exception {
+    void servesAsManyMadeUpRequestsAsItTakesToCompileTheirCode(@TempDir Path dir) throws Exception {
         var settings = Config.parse(Fixture.config()).settings();
         long longMs = TimeUnit.MINUTES.toMillis(5);
-        assertThat(Warmup.run(settings, Warmup.CLIENTS, longMs, longMs)).isGreaterThanOrEqualTo(Warmup.REQUESTS);
+        assertThat(Warmup.run(settings, dir, Warmup.CLIENTS, longMs, longMs)).isGreaterThanOrEqualTo(Warmup.REQUESTS);
     }
 
     /** Some hosts lead nobody to a socket in the file system: that costs the wait for the first answer, not for all. */
     @Test
     @Timeout(60)
-    void endsWhereNothingIsAnsweredInTime() throws Exception {
+    void endsWhereNothingIsAnsweredInTime(@TempDir Path dir) throws Exception {
         var settings = Config.parse(Fixture.config()).settings();
-        assertThat(Warmup.run(settings, 0, 1, TimeUnit.MINUTES.toMillis(5))).isZero();
+        assertThat(Warmup.run(settings, dir, 0, 1, TimeUnit.MINUTES.toMillis(5))).isZero();
     }
 
     /** 40 requests a second for each of two proxies, then 4,000: a tenth of a core takes in 50 while it is cold. */
--- a/src/test/java/beechfall/proxy/Wire.java
+++ b/src/test/java/beechfall/proxy/Wire.java
@@ -56,6 +56,11 @@
         return new Message(first, headers.toString(), new String(body, StandardCharsets.ISO_8859_1));
     }
 
+    /** Reads all that comes until the other side ends the connection. */
+    String rest() throws IOException {
+        return new String(in.readAllBytes(), StandardCharsets.UTF_8);
+    }
+
     /** Waits until the other side has ended the connection; returns whether it did so without sending anything. */
     boolean ended() throws IOException {
         try {
@@ -67,6 +72,11 @@
         }
     }
 
+    /** Ends the sending from this side; what the other side has to say may still come. */
+    void endSending() throws IOException {
+        socket.shutdownOutput();
+    }
+
     private String line() throws IOException {
         var line = new ByteArrayOutputStream();
         for (int b = in.read(); b != '\n'; b = in.read()) {
