Serve over an inherited listening socket, so that an upgrade loses no request

Now the clients' socket is taken from descriptor 0 where PROXY_LISTEN_FD names it. A thread of its own accepts, as the shared socket may block; it begins when the process is ready, and SIGTERM ends it at once. Looked at in the JDK: closing an inherited channel shuts nothing down, but points descriptors 0 to 2 at /dev/null, so the log opens one of its own. A running proxy has 11 descriptors open without clients; of half the limit 48 are kept back.

Tests: UpgradeTest, with two processes on one socket for the whole of it.

--- a/src/main/java/beechfall/proxy/Frontend.java
+++ b/src/main/java/beechfall/proxy/Frontend.java
@@ -16,6 +16,7 @@
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -34,6 +35,7 @@
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.SocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.HashMap;
@@ -72,7 +74,7 @@
     private final Map<String, Balancer.Effect> effects = new HashMap<>();
     private final Set<String> tenants = new HashSet<>();
     private final Set<Connection> connections = new HashSet<>();
-    private Channel listener;
+    private Listener listener;
     private boolean draining;
     private boolean closing;
     private long latestDeadline = Long.MAX_VALUE;
@@ -90,24 +92,55 @@
     }
 
     ChannelFuture listen(EventLoop loop, Class<? extends ServerChannel> transport, SocketAddress address) {
-        beatAt = clock.now();
-        loop.scheduleWithFixedDelay(this::beat, BEAT_US, BEAT_US, TimeUnit.MICROSECONDS);
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(transport)
                 // One at a time: each that is accepted counts before the next is.
                 .option(ChannelOption.RECVBUF_ALLOCATOR, new ServerChannelRecvByteBufAllocator())
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                .childHandler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        sockets.clientOpened(channel);
-                        channel.pipeline().addLast(new Connection());
-                    }
-                }).bind(address);
-        listener = bound.channel();
-        sockets.listener(listener);
+                .childHandler(new Admission()).bind(address);
+        listenAt(loop, new Listener() {
+            @Override
+            public void accept(boolean on) {
+                bound.channel().config().setAutoRead(on);
+            }
+
+            @Override
+            public void close() {
+                bound.channel().close();
+            }
+        });
         return bound;
     }
 
+    /**
+     * Takes clients in over a socket that other processes hold as well.
+     *
+     * @param ended is run once it was closed and all that had come by then are known here
+     */
+    void listen(EventLoop loop, ServerSocketChannel inherited, Runnable ended) {
+        var where = new InheritedListener(inherited, loop, log, client -> {
+            var channel = new NioSocketChannel(null, client);
+            channel.pipeline().addLast(new Admission());
+            loop.register(channel);
+        }, ended);
+        listenAt(loop, where);
+        where.start();
+    }
+
+    private void listenAt(EventLoop loop, Listener where) {
+        beatAt = clock.now();
+        loop.scheduleWithFixedDelay(this::beat, BEAT_US, BEAT_US, TimeUnit.MICROSECONDS);
+        listener = where;
+        sockets.listener(where);
+    }
+
+    private final class Admission extends ChannelInitializer<Channel> {
+        @Override
+        protected void initChannel(Channel channel) {
+            sockets.clientOpened(channel);
+            channel.pipeline().addLast(new Connection());
+        }
+    }
+
     private void beat() {
         heldUpFrom = arrivedAt(Long.MAX_VALUE);
         beatAt = clock.now();
@@ -134,12 +167,18 @@
     }
 
     void stopListening() {
-        listener.close();
+        if (listener != null) {
+            listener.close();
+        }
     }
 
-    /** From now on each answer is its connection's last, and a connection on which nothing is asked is closed. */
+    /** From now on each answer is its connection's last. */
     void closeAfterAnswers() {
         closing = true;
+    }
+
+    /** Closes the connections on which nothing is asked. */
+    void closeIdle() {
         List.copyOf(connections).forEach(Connection::closeIfIdle);
     }
 
--- /dev/null
+++ b/src/main/java/beechfall/proxy/InheritedListener.java
@@ -0,0 +1,95 @@
+package beechfall.proxy;
+
+import io.netty.channel.EventLoop;
+import java.io.IOException;
+import java.nio.channels.ClosedChannelException;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * A listening socket that other processes hold as well. Whether it blocks is a property that all of them share, so it
+ * is left as it is, and a thread of its own waits in accept: on a loop, one connection that another process has taken
+ * first would hold up all that goes on there.
+ */
+final class InheritedListener implements Listener {
+    /** After a failure, such as a descriptor too many, the next try waits so long. */
+    private static final long AFTER_FAILURE_MS = 20;
+
+    private final ServerSocketChannel socket;
+    private final EventLoop loop;
+    private final Log log;
+    private final Consumer<SocketChannel> admit;
+    private final Runnable ended;
+    private boolean open = true;
+
+    /**
+     * Makes one that takes nobody in yet.
+     *
+     * @param admit gets each connection, on the loop, before the next is accepted
+     * @param ended is run on the loop after it was closed, once all that was accepted by then has been admitted
+     */
+    InheritedListener(ServerSocketChannel socket, EventLoop loop, Log log, Consumer<SocketChannel> admit, Runnable ended) {
+        this.socket = socket;
+        this.loop = loop;
+        this.log = log;
+        this.admit = admit;
+        this.ended = ended;
+    }
+
+    void start() {
+        var thread = new Thread(this::run, "accept");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    @Override
+    public synchronized void accept(boolean on) {
+        open = on;
+        notifyAll();
+    }
+
+    @Override
+    public void close() {
+        try {
+            // The shared socket itself lives on: this closes no more than this process's descriptor of it.
+            socket.close();
+        } catch (IOException e) {
+            log.failure("the inherited socket did not close", e);
+        }
+        accept(true);
+    }
+
+    private void run() {
+        try {
+            while (socket.isOpen()) {
+                next();
+            }
+            loop.execute(ended);
+        } catch (InterruptedException | RejectedExecutionException e) {
+            // The loop has ended, and with it the process.
+        }
+    }
+
+    private void next() throws InterruptedException {
+        try {
+            untilOpen();
+            SocketChannel accepted = socket.accept();
+            loop.submit(() -> admit.accept(accepted)).get();
+        } catch (ClosedChannelException e) {
+            // Nobody else is wanted.
+        } catch (IOException | ExecutionException e) {
+            loop.execute(() -> log.failure("a client was not accepted", e));
+            TimeUnit.MILLISECONDS.sleep(AFTER_FAILURE_MS);
+        }
+    }
+
+    private synchronized void untilOpen() throws InterruptedException {
+        while (!open && socket.isOpen()) {
+            wait();
+        }
+    }
+}
--- a/src/main/java/beechfall/proxy/Serve.java
+++ b/src/main/java/beechfall/proxy/Serve.java
@@ -8,6 +8,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
@@ -28,18 +29,22 @@
     /** What is taken is answered so long before the end: the answer is to be written as well. */
     private static final long WRITING_MS = 100;
 
+    /** Clients are taken in after so long even where there is no backend to send to, as nobody else may be there. */
+    private static final long READY_MS = 5_000;
     /** The folder, among what the process may write, where the exclusions stand. */
     private static final String EXCLUDED = "excluded";
 
     private final Config config;
     private final Surroundings surroundings;
-    private final Log log = new Log();
+    private final Log log;
     private final Clock clock = new Clock();
     private final EventLoop loop;
     private final Proxy proxy;
     private final Discovery discovery;
     private final Frontend frontend;
+    private final Backends backends;
     private final Exclusions exclusions;
+    private boolean draining;
     private final CountDownLatch drained = new CountDownLatch(1);
 
     Serve(Config config, Surroundings surroundings) {
@@ -49,14 +54,15 @@
     Serve(Config config, Surroundings surroundings, Balancer module) {
         this.config = config;
         this.surroundings = surroundings;
+        log = shared() ? Log.ofItsOwn() : new Log();
         loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         var settings = config.settings();
-        var sockets = new Sockets(config.sockets());
-        var backends = new Backends(clock, loop, NioSocketChannel.class, sockets, config.connIdleUs(), config.connectTimeoutUs());
+        var sockets = shared() ? Sockets.halfOf(config.sockets()) : new Sockets(config.sockets());
+        backends = new Backends(clock, loop, NioSocketChannel.class, sockets, config.connIdleUs(), config.connectTimeoutUs());
         proxy = new Proxy(clock, loop, log, settings, module, backends);
         discovery = new Discovery(loop, log, proxy, config.discovery(), settings);
         proxy.discovery(discovery);
-        frontend = new Frontend(clock, log, proxy, sockets, settings, () -> discovery.settled() && backends.anyReady());
+        frontend = new Frontend(clock, log, proxy, sockets, settings, this::available);
         exclusions = new Exclusions(loop, log, proxy, surroundings.temp().resolve(EXCLUDED));
     }
 
@@ -74,13 +80,13 @@
             if (Warmup.needed(config.settings(), config.cores())) {
                 serve.warmUp();
             }
-            serve.listen();
             Signals.handle("HUP", () -> serve.reconfigure(file));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 serve.drain();
                 // All is answered and nothing is left to be tidied up.
                 Runtime.getRuntime().halt(0);
             }, "drain"));
+            serve.listen();
         } catch (Config.BadConfig e) {
             exit(e);
         }
@@ -115,7 +121,8 @@
 
     private static void exit(Config.BadConfig e) {
         System.err.println("bad configuration: " + e.getMessage());
-        System.exit(2);
+        // At once: there is nothing to drain.
+        Runtime.getRuntime().halt(2);
     }
 
     /** Learns of the backends, and hears the operators; returns where, or null where they don't call. */
@@ -129,14 +136,51 @@
         return bound("operator", () -> door.listen(loop, surroundings.operator()));
     }
 
-    /** Begins to serve; returns the address. */
+    /** Whether two processes serve at once during an upgrade, within the limits of one. */
+    private boolean shared() {
+        return surroundings.clients() != null;
+    }
+
+    /** Begins to serve; returns the address. Over a socket that others serve as well it begins only once it is ready. */
     InetSocketAddress listen() throws Config.BadConfig {
+        if (shared()) {
+            long latest = clock.now() + TimeUnit.MILLISECONDS.toMicros(READY_MS);
+            loop.execute(() -> listenOnceReady(latest));
+            try {
+                return (InetSocketAddress) surroundings.clients().getLocalAddress();
+            } catch (IOException e) {
+                throw new Config.BadConfig("the inherited socket: " + e);
+            }
+        }
         InetSocketAddress address = bound("listen",
                 () -> frontend.listen(loop, NioServerSocketChannel.class, config.listen()));
         loop.execute(() -> log.line(config.name() + ": listening on " + address.getPort()));
         return address;
     }
 
+    private void listenOnceReady(long latest) {
+        if (draining) {
+            drained.countDown();
+        } else if (available() || clock.now() >= latest) {
+            frontend.listen(loop, surroundings.clients(), this::watchForTheLast);
+            log.line(config.name() + ": listening on an inherited socket");
+        } else {
+            loop.schedule(() -> listenOnceReady(latest), LOOK_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private boolean available() {
+        return discovery.settled() && backends.anyReady();
+    }
+
+    private void watchForTheLast() {
+        loop.scheduleWithFixedDelay(() -> {
+            if (!frontend.busy()) {
+                drained.countDown();
+            }
+        }, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+    }
+
     private InetSocketAddress bound(String field, Callable<ChannelFuture> listen) throws Config.BadConfig {
         ChannelFuture bound = loop.submit(listen).syncUninterruptibly().getNow();
         if (!bound.awaitUninterruptibly().isSuccess()) {
@@ -166,18 +210,25 @@
         long longestMs = config.settings().classes().stream().mapToLong(c -> c.deadlineUs()).max().orElse(0) / 1_000;
         long endMs = Math.min(longestMs, MOST_DEADLINE_MS) + KILL_MS;
         loop.execute(() -> {
+            draining = true;
             log.line(config.name() + ": draining");
             frontend.drain(clock.now() + TimeUnit.MILLISECONDS.toMicros(endMs - WRITING_MS));
+            if (shared()) {
+                // Whoever is not accepted yet is the next process's, and so is whoever has had an answer.
+                frontend.stopListening();
+                frontend.closeAfterAnswers();
+            }
         });
+        if (!shared()) {
+            loop.schedule(() -> {
+                frontend.stopListening();
+                watchForTheLast();
+            }, FRONT_LAG_MS, TimeUnit.MILLISECONDS);
+        }
         loop.schedule(() -> {
-            frontend.stopListening();
-            loop.scheduleWithFixedDelay(() -> {
-                if (!frontend.busy()) {
-                    drained.countDown();
-                }
-            }, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
-        }, FRONT_LAG_MS, TimeUnit.MILLISECONDS);
-        loop.schedule(frontend::closeAfterAnswers, endMs - LAST_CALL_MS, TimeUnit.MILLISECONDS);
+            frontend.closeAfterAnswers();
+            frontend.closeIdle();
+        }, endMs - LAST_CALL_MS, TimeUnit.MILLISECONDS);
         try {
             boolean all = drained.await(endMs, TimeUnit.MILLISECONDS);
             loop.submit(() -> log.line(config.name() + (all ? ": drained" : ": ends with clients still connected")))
--- a/src/main/java/beechfall/proxy/Sockets.java
+++ b/src/main/java/beechfall/proxy/Sockets.java
@@ -12,6 +12,8 @@
 final class Sockets {
     /** Descriptors for the jar, the selector, the listener, discovery and connections that are just closing. */
     private static final int SPARE = 96;
+    /** Of half the descriptors a quarter: the process itself has 11 open, the operators take 16, discovery 2. */
+    private static final int SHARED_SPARE = 48;
 
     private final int most;
     private final int mostClients;
@@ -19,17 +21,27 @@
     private final Set<Channel> idleClients = new LinkedHashSet<>();
     private int clients;
     private int backends;
-    private Channel listener;
+    private Listener listener;
+    private boolean accepting = true;
 
     Sockets(int limit) {
-        most = Math.max(16, limit - SPARE);
+        this(limit, SPARE);
+    }
+
+    /** Returns the part of one of two processes that share a limit: neither knows when the other is there. */
+    static Sockets halfOf(int limit) {
+        return new Sockets(limit / 2, SHARED_SPARE);
+    }
+
+    private Sockets(int limit, int spare) {
+        most = Math.max(16, limit - spare);
         // A request needs a connection on either side: clients alone can't use up what their requests need.
         mostClients = most * 5 / 8;
     }
 
     /** Names the socket that is not to accept while there is no room. */
-    void listener(Channel channel) {
-        listener = channel;
+    void listener(Listener where) {
+        listener = where;
     }
 
     void clientOpened(Channel channel) {
@@ -47,8 +59,9 @@
     }
 
     private void accept(boolean on) {
-        if (listener != null && listener.config().isAutoRead() != on) {
-            listener.config().setAutoRead(on);
+        if (listener != null && accepting != on) {
+            accepting = on;
+            listener.accept(on);
         }
     }
 
--- a/src/main/java/beechfall/proxy/Surroundings.java
+++ b/src/main/java/beechfall/proxy/Surroundings.java
@@ -1,6 +1,8 @@
 package beechfall.proxy;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Path;
 import java.util.Map;
 
@@ -9,8 +11,9 @@
  *
  * @param operator where the operators call; null where they don't
  * @param temp the folder that the process may write to; what is left there outlives an upgrade
+ * @param clients the socket at which clients come in, which other processes hold too; null where it is this one's own
  */
-record Surroundings(InetSocketAddress operator, Path temp) {
+record Surroundings(InetSocketAddress operator, Path temp, ServerSocketChannel clients) {
 
     static Surroundings of(Map<String, String> environment, Config config) throws Config.BadConfig {
         String place = environment.getOrDefault("PROXY_OPERATOR", "");
@@ -19,6 +22,22 @@
             throw new Config.BadConfig("PROXY_OPERATOR: '" + place + "' is no address and port");
         }
         String temp = environment.getOrDefault("TMPDIR", "");
-        return new Surroundings(operator, Path.of(temp.isEmpty() ? System.getProperty("java.io.tmpdir") : temp));
+        return new Surroundings(operator, Path.of(temp.isEmpty() ? System.getProperty("java.io.tmpdir") : temp),
+                inherited(environment.getOrDefault("PROXY_LISTEN_FD", "")));
+    }
+
+    private static ServerSocketChannel inherited(String descriptor) throws Config.BadConfig {
+        if (descriptor.isEmpty()) {
+            return null;
+        }
+        try {
+            // The JDK knows of no other descriptor that may be inherited.
+            if (descriptor.equals("0") && System.inheritedChannel() instanceof ServerSocketChannel socket) {
+                return socket;
+            }
+        } catch (IOException e) {
+            throw new Config.BadConfig("PROXY_LISTEN_FD: " + e);
+        }
+        throw new Config.BadConfig("PROXY_LISTEN_FD: descriptor '" + descriptor + "' is no listening socket at 0");
     }
 }
--- a/src/test/java/beechfall/proxy/Fixture.java
+++ b/src/test/java/beechfall/proxy/Fixture.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Path;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -62,17 +63,23 @@
 
     private Fixture(Function<Balancer.Settings, Balancer> factory, int sockets, long idleUs, Peer... backends)
             throws Exception {
-        this(factory, sockets, idleUs, null, backends);
+        this(factory, sockets, idleUs, new Surroundings(null, Path.of("/nonexistent"), null), backends);
     }
 
     /** One that the operators call, and that may write to a folder; it has the module that the test says, or its own. */
     static Fixture operated(Module module, Path temp, Peer... backends) throws Exception {
+        return sharing(null, module, temp, backends);
+    }
+
+    /** The same, with clients that come over a socket which is not its own. */
+    static Fixture sharing(ServerSocketChannel clients, Module module, Path temp, Peer... backends) throws Exception {
         return new Fixture(module == null ? Policy::new : settings -> (now, event, actions) -> module.handle(event, actions),
-                1_024, 15_000_000, temp, backends);
+                1_024, 15_000_000, new Surroundings(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), temp, clients),
+                backends);
     }
 
-    private Fixture(Function<Balancer.Settings, Balancer> factory, int sockets, long idleUs, Path temp, Peer... backends)
-            throws Exception {
+    private Fixture(Function<Balancer.Settings, Balancer> factory, int sockets, long idleUs, Surroundings surroundings,
+            Peer... backends) throws Exception {
         var servers = new StringBuilder();
         for (int i = 0; i < backends.length; i++) {
             servers.append(i == 0 ? "" : ",").append(entry("s" + i, backends[i].address(), "ready"));
@@ -80,9 +87,7 @@
         String json = CONFIG.formatted(discovery.address(), sockets, servers, idleUs);
         Config config = Config.parse(Config.JSON.readTree(json));
         Balancer module = factory.apply(config.settings());
-        var nowhere = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
-        serve = new Serve(config, new Surroundings(temp == null ? null : nowhere,
-                temp == null ? Path.of("/nonexistent") : temp), (now, event, actions) -> {
+        serve = new Serve(config, surroundings, (now, event, actions) -> {
             events.add(event);
             module.handle(now, event, actions);
         });
--- a/src/test/java/beechfall/proxy/Program.java
+++ b/src/test/java/beechfall/proxy/Program.java
@@ -6,33 +6,50 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Pattern;
 
 /** The program as {@code run} starts it, in a process of its own. */
 final class Program implements Closeable {
+    /** The command that {@code run} stands for here. */
+    static final List<String> SERVE = List.of(ProcessHandle.current().info().command().orElseThrow(), "-cp",
+            System.getProperty("java.class.path"), "beechfall.Main", "serve");
+
     private final Path file;
     private final Process process;
-    private final BufferedReader log;
+    private final Output log;
+
+    /** What a process writes, read as it is waited for. */
+    record Output(BufferedReader lines) {
+        Output(Process process) {
+            this(process.inputReader());
+        }
+
+        /** Waits for a line that a pattern is found in; returns it, or null if the process has ended without it. */
+        String line(String pattern) {
+            return lines.lines().filter(Pattern.compile(pattern).asPredicate()).findFirst().orElse(null);
+        }
+    }
 
     /** Starts it with a folder of its own, which holds its configuration and whatever it leaves there. */
     Program(Path dir, ObjectNode config) throws IOException {
         file = dir.resolve("config.json");
         configure(config);
-        var command = new ProcessBuilder(ProcessHandle.current().info().command().orElseThrow(), "-cp", System.getProperty("java.class.path"), "beechfall.Main", "serve").redirectErrorStream(true);
+        var command = new ProcessBuilder(SERVE).redirectErrorStream(true);
         command.environment().put("PROXY_CONFIG", file.toString());
         command.environment().put("TMPDIR", dir.toString());
         process = command.start();
-        log = process.inputReader();
+        log = new Output(process);
     }
 
     void configure(ObjectNode config) throws IOException {
         Files.writeString(file, config.toString());
     }
 
-    /** Waits for a line of its log that a pattern is found in; returns it, or null if the program has ended without it. */
+    /** Waits for a line of its log. */
     String line(String pattern) {
-        return log.lines().filter(Pattern.compile(pattern).asPredicate()).findFirst().orElse(null);
+        return log.line(pattern);
     }
 
     void signal(String name) throws Exception {
--- /dev/null
+++ b/src/test/java/beechfall/proxy/UpgradeTest.java
@@ -0,0 +1,113 @@
+package beechfall.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import beechfall.Balancer.Arrival;
+import beechfall.Balancer.ListKind;
+import beechfall.Balancer.Members;
+import beechfall.Balancer.Send;
+import beechfall.Balancer.Watch;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Clients that come over a listening socket which this process shares with the one before it and the one after it. */
+class UpgradeTest {
+    @TempDir
+    private Path temp;
+
+    private static ServerSocketChannel listening() throws Exception {
+        return ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    }
+
+    /** Until it can serve, clients wait in the socket's queue, where another process may take them. */
+    @Test
+    void takesNobodyInBeforeItIsReady() throws Exception {
+        try (var backend = new Peer(); var socket = listening();
+                var proxy = Fixture.sharing(socket, (event, actions) -> {
+                    if (event instanceof Members m && m.kind() == ListKind.CACHED) {
+                        actions.accept(new Watch(true));
+                    } else if (event instanceof Arrival a) {
+                        actions.accept(new Send(a.id(), "s0", 0));
+                    }
+                }, temp); var client = proxy.client()) {
+            client.send(Fixture.get("r1"));
+            assertThat(proxy.call("readyz\n")).startsWith("FAILURE");
+            Wire call = proxy.discovery.accept();
+            call.read();
+            assertThat(proxy.events).noneMatch(Arrival.class::isInstance);
+            backend.always(Peer.ok("served"));
+            call.send(Peer.ok(Fixture.list(42, true, Fixture.entry("s0", backend.address(), "ready"))));
+            assertThat(client.read().body()).isEqualTo("served");
+            assertThat(proxy.call("readyz\n")).startsWith("SUCCESS");
+            assertThat(socket.isBlocking()).isTrue();
+        }
+    }
+
+    /** It accepts nobody more at once, and sends those that it has on to the next process, each after an answer. */
+    @Test
+    void handsItsClientsOnWhenItIsToldToEnd() throws Exception {
+        try (var backend = new Peer(); var socket = listening();
+                var proxy = Fixture.sharing(socket, Fixture.sendTo("s0"), temp, backend);
+                var busy = proxy.client(); var idle = proxy.client()) {
+            busy.send(Fixture.get("r1"));
+            Wire attempt = backend.accept();
+            attempt.read();
+            idle.send("GET /other HTTP/1.1\r\n\r\n").read();
+            CompletableFuture<Void> drained = CompletableFuture.runAsync(proxy::drain);
+            while (socket.isOpen()) {
+                Thread.onSpinWait();
+            }
+            idle.send(Fixture.get("r2"));
+            attempt.send(Peer.ok("one"));
+            Wire.Message answer = busy.read();
+            assertThat(answer.body()).isEqualTo("one");
+            assertThat(answer.header("Connection")).isEqualTo("close");
+            assertThat(busy.ended()).isTrue();
+            assertThat(drained).isNotDone();
+            Wire second = backend.accept();
+            second.read();
+            second.send(Peer.ok("two"));
+            assertThat(idle.read().body()).isEqualTo("two");
+            assertThat(idle.ended()).isTrue();
+            drained.get(10, TimeUnit.SECONDS);
+        }
+    }
+
+    /** The whole of it: two processes on one socket; the old one ends, and clients, old and new, are served throughout. */
+    @Test
+    void theNextProcessServesOnOverTheSameSocket(@TempDir Path dir) throws Exception {
+        try (var backend = new Peer(); var discovery = new Peer();
+                var platform = new Platform(dir, config(backend, discovery))) {
+            backend.always(Peer.ok("served"));
+            discovery.always(Peer.ok(Fixture.list(42, true, Fixture.entry("s0", backend.address(), "ready"))));
+            platform.start();
+            platform.line("listening on an inherited socket");
+            try (var client = platform.client()) {
+                assertThat(client.send(Fixture.get("r1")).read().body()).isEqualTo("served");
+                platform.start();
+                platform.line("listening on an inherited socket");
+                platform.endFirst();
+                assertThat(platform.line("draining|drained")).contains("draining");
+                assertThat(client.send(Fixture.get("r2")).read().header("Connection")).isEqualTo("close");
+                // Its log goes on after the JDK has given up descriptor 2 along with the socket.
+                assertThat(platform.line("drained")).startsWith("n0: drained");
+            }
+            try (var client = platform.client()) {
+                assertThat(client.send(Fixture.get("r3")).read().body()).isEqualTo("served");
+            }
+        }
+    }
+
+    private static ObjectNode config(Peer backend, Peer discovery) throws Exception {
+        ObjectNode config = Fixture.config().put("discovery", discovery.address());
+        config.set("known", Config.JSON.readTree(Fixture.list(41, true, Fixture.entry("s0", backend.address(), "ready"))));
+        return config;
+    }
+}
