--- a/src/main/java/beechfall/Balancer.java
+++ b/src/main/java/beechfall/Balancer.java
@@ -118,8 +118,8 @@
     }
 
     /** Something that happened to the proxy. */
-    sealed interface Event permits Members, Excluded, Included, Arrival, StreamStarted,
-            AttemptEnded, ClientGone, TimerFired, ProbeEnded { }
+    sealed interface Event permits Members, Excluded, Included, Arrival, RequestSending,
+            RequestSent, StreamStarted, AttemptEnded, ClientGone, TimerFired, ProbeEnded { }
 
     /** News of the server list. A backend missing from a full list is gone. */
     record Members(ListKind kind, List<Backend> backends) implements Event { }
@@ -137,6 +137,12 @@
     record Arrival(String id, String requestClass, String tenant, String key, long leftUs, boolean repeat, long costUs)
             implements Event { }
 
+    /** A request that is still coming from its client is being passed on: until it has gone out whole, no answer is due. */
+    record RequestSending(String id, int attempt) implements Event { }
+
+    /** Such a request has gone out whole: its time begins to run, and {@code leftUs} is the client's patience. */
+    record RequestSent(String id, int attempt, long leftUs) implements Event { }
+
     /** An answer has begun to stream: the attempt is the client's from here on. */
     record StreamStarted(String id, int attempt) implements Event { }
 
--- a/src/main/java/beechfall/Policy.java
+++ b/src/main/java/beechfall/Policy.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -212,8 +213,8 @@
         private final double worth;
         private final double size;
         private final double costUs;
-        private final long aimAt;
-        private final long deadline;
+        private long aimAt;
+        private long deadline;
         private final List<Attempt> attempts = new ArrayList<>(2);
         private int out;
         private boolean over;
@@ -241,13 +242,18 @@
 
     /** One attempt: {@code outcome} is null while it is out. */
     private static final class Attempt {
+        private final Request request;
         private final Server server;
         private final Backend sentTo;
-        private final long sentAt;
         private final long timeoutUs;
+        private long sentAt;
+        /** Whether the server has it to do, as far as can be told: not while either body is only being passed on. */
+        private boolean working;
+        private boolean streaming;
         private Outcome outcome;
 
-        Attempt(Server server, long sentAt, long timeoutUs) {
+        Attempt(Request request, Server server, long sentAt, long timeoutUs) {
+            this.request = request;
             this.server = server;
             this.sentTo = server.listed;
             this.sentAt = sentAt;
@@ -270,6 +276,12 @@
             arrival(e);
         } else if (event instanceof AttemptEnded e) {
             attemptEnded(e);
+        } else if (event instanceof RequestSending e) {
+            whereOut(e.id(), e.attempt()).ifPresent(this::putAside);
+        } else if (event instanceof RequestSent e) {
+            whereOut(e.id(), e.attempt()).ifPresent(a -> sent(a, e.leftUs()));
+        } else if (event instanceof StreamStarted e) {
+            whereOut(e.id(), e.attempt()).ifPresent(this::streams);
         } else if (event instanceof TimerFired e && e.token().equals("ask") && now >= askAt) {
             ask();
         } else if (event instanceof Members e) {
@@ -591,17 +603,13 @@
 
     private void send(Request r, Server s) {
         s.currentTime += 1;
-        s.whole.sent(now);
-        s.outWork += r.size;
-        outWork += r.size;
-        s.flows[r.flow].sent(now);
-        outstanding++;
         s.coldTokens -= 1;
         r.out++;
         // A slow answer is worth waiting for, but not long past its aim: silence takes up the room of others.
         long cutUs = now < r.aimAt ? (long) (LATE * (r.aimAt - now)) : Long.MAX_VALUE;
-        var a = new Attempt(s, now, Math.min(r.deadline - now, cutUs));
+        var a = new Attempt(r, s, now, Math.min(r.deadline - now, cutUs));
         r.attempts.add(a);
+        works(a);
         out.accept(new Send(r.id, s.id, a.timeoutUs));
     }
 
@@ -614,36 +622,88 @@
         }
         Attempt a = r.attempts.get(e.attempt());
         a.outcome = e.outcome();
-        boolean heard = e.outcome() != Outcome.TIMEOUT && e.outcome() != Outcome.CANCELLED;
-        a.server.whole.ended(now, heard);
-        a.server.flows[r.flow].ended(now, heard);
-        a.server.outWork -= r.size;
-        outWork -= r.size;
-        outstanding--;
+        rests(a, e.outcome() != Outcome.TIMEOUT && e.outcome() != Outcome.CANCELLED);
         r.out--;
         releaseUnlessReady(a.server);
-        boolean ok = e.outcome() == Outcome.OK;
+        if (!a.streaming) {
+            judge(a, e.outcome(), e.latencyUs());
+        }
+        if (r.over || e.last()) {
+            close(r);
+        } else if (r.out == 0) {
+            retry(r);
+        }
+    }
+
+    /** Counts an attempt as the server's to do, now or again. */
+    private void works(Attempt a) {
+        a.working = true;
+        a.server.whole.sent(now);
+        a.server.flows[a.request.flow].sent(now);
+        a.server.outWork += a.request.size;
+        outWork += a.request.size;
+        outstanding++;
+    }
+
+    private void rests(Attempt a, boolean heard) {
+        if (a.working) {
+            a.working = false;
+            a.server.whole.ended(now, heard);
+            a.server.flows[a.request.flow].ended(now, heard);
+            a.server.outWork -= a.request.size;
+            outWork -= a.request.size;
+            outstanding--;
+        }
+    }
+
+    private Optional<Attempt> whereOut(String id, int number) {
+        Request r = requests.get(id);
+        return r == null || number >= r.attempts.size() || r.attempts.get(number).outcome != null ? Optional.empty()
+                : Optional.of(r.attempts.get(number));
+    }
+
+    /** What is still coming from the client is no work for the server yet, and its silence means nothing. */
+    private void putAside(Attempt a) {
+        rests(a, true);
+    }
+
+    /** Its time runs from here on, as if it had only now arrived and been sent. */
+    private void sent(Attempt a, long leftUs) {
+        Request r = a.request;
+        long aimUs = r.aimAt - a.sentAt;
+        a.sentAt = now;
+        r.deadline = now + leftUs;
+        r.aimAt = Math.min(r.deadline, now + aimUs);
+        works(a);
+    }
+
+    /** The answer is the client's from here on: the work is done, and how long the rest takes is not the server's doing. */
+    private void streams(Attempt a) {
+        rests(a, true);
+        a.streaming = true;
+        judge(a, Outcome.OK, now - a.sentAt);
+    }
+
+    /** Learns of an answer, or of there being none. */
+    private void judge(Attempt a, Outcome outcome, long latencyUs) {
+        Request r = a.request;
+        boolean ok = outcome == Outcome.OK;
         // What cannot be reached, or says nothing for long, fails for all; any other failure tells of the flow alone.
-        if (e.outcome() != Outcome.CANCELLED && e.outcome() != Outcome.NOT_SENT) {
-            boolean silent = e.outcome() == Outcome.TIMEOUT && workUs(a.server, r) < a.timeoutUs / LATE / 2;
-            a.server.whole.judge(e.outcome() != Outcome.CONNECT_FAILED && !silent, now, refreshUs);
+        if (outcome != Outcome.CANCELLED && outcome != Outcome.NOT_SENT) {
+            boolean silent = outcome == Outcome.TIMEOUT && workUs(a.server, r) < a.timeoutUs / LATE / 2;
+            a.server.whole.judge(outcome != Outcome.CONNECT_FAILED && !silent, now, refreshUs);
             a.server.flows[r.flow].judge(ok, now, refreshUs);
-            learn(a.server, ok ? e.latencyUs() : e.outcome() == Outcome.ERROR ? r.type.aimUs() : a.timeoutUs);
+            learn(a.server, ok ? latencyUs : outcome == Outcome.ERROR ? r.type.aimUs() : a.timeoutUs);
         }
         if (ok) {
-            all.learn(e.latencyUs());
+            all.learn(latencyUs);
             if (r.costUs > 0) {
-                a.server.kind.learn(e.latencyUs(), r.costUs, now);
+                a.server.kind.learn(latencyUs, r.costUs, now);
             }
             answersPerUs = answerRate() + 1.0 / refreshUs;
             answersAt = now;
             refused -= refused / 16;
         }
-        if (r.over || e.last()) {
-            close(r);
-        } else if (r.out == 0) {
-            retry(r);
-        }
     }
 
     /** Forgets a request that is over once none of its attempts is out, and calls off those that are. */
--- a/src/main/java/beechfall/proxy/Backends.java
+++ b/src/main/java/beechfall/proxy/Backends.java
@@ -1,9 +1,10 @@
 package beechfall.proxy;
 
-import beechfall.Balancer;
 import beechfall.Balancer.Outcome;
+import beechfall.Balancer;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -14,17 +15,23 @@
 import io.netty.channel.pool.ChannelPoolHandler;
 import io.netty.channel.pool.SimpleChannelPool;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.TooLongHttpContentException;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.util.AsciiString;
@@ -49,8 +56,11 @@
 final class Backends {
     static final int MAX_BODY = 64 * 1024;
 
-    /** What goes to a backend; it is the same for each attempt, but for the time left. */
-    record Outgoing(HttpMethod method, String uri, HttpHeaders headers, ByteBuf body) { }
+    /**
+     * What goes to a backend; it is the same for each attempt, but for the time left. The body is whole, or else in a
+     * passage, on which it may still be coming.
+     */
+    record Outgoing(HttpMethod method, String uri, HttpHeaders headers, ByteBuf body, Passage passage) { }
 
     /** A backend's 200. The body is the receiver's to release. */
     record Answer(HttpHeaders headers, ByteBuf body) { }
@@ -58,14 +68,28 @@
     /** A line of the list, and where this proxy finds that backend. */
     record Listed(Balancer.Backend backend, SocketAddress address) { }
 
-    /** Hears the one end of an attempt; {@code answer} is there for {@link Outcome#OK} alone. */
-    interface End {
+    /** A backend's 200 that has begun; {@code length} is -1 where it is not known. The body is the receiver's to end. */
+    record Stream(HttpHeaders headers, long length, Passage body) { }
+
+    /** Hears what becomes of an attempt. */
+    interface Hearer {
+        /** A body that is still coming is being passed on: until it has gone out whole, nothing can be answered. */
+        void sending();
+
+        /** That body has gone out whole. */
+        void sent();
+
+        /** A long answer has begun. */
+        void streams(Stream stream);
+
+        /** The one end; {@code answer} is there for an {@link Outcome#OK} that has not streamed. */
         void ended(Outcome outcome, long latencyUs, Answer answer);
     }
 
     private final Clock clock;
     private final EventLoop loop;
     private final Sockets sockets;
+    private final Buffers buffers;
     private final Bootstrap bootstrap;
     private final long idleUs;
     private final Map<String, Target> targets = new HashMap<>();
@@ -73,14 +97,17 @@
     private final Set<String> named = new HashSet<>();
     private final Set<String> excluded = new HashSet<>();
 
-    Backends(Clock clock, EventLoop loop, Class<? extends Channel> transport, Sockets sockets, long connIdleUs,
-            long connectTimeoutUs) {
+    Backends(Clock clock, EventLoop loop, Class<? extends Channel> transport, Sockets sockets, Buffers buffers,
+            long connIdleUs, long connectTimeoutUs) {
         this.clock = clock;
         this.loop = loop;
         this.sockets = sockets;
+        this.buffers = buffers;
         // Well before the backend does: a request that crosses its close ends as a reset, and may have run.
         this.idleUs = connIdleUs * 3 / 5;
         this.bootstrap = new Bootstrap().group(loop).channel(transport)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, Headers.readingLittle())
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, Headers.WATER_MARK)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutUs / 1_000));
     }
 
@@ -154,12 +181,13 @@
     }
 
     /** Returns an attempt that is yet to be started, or null where there is no such backend or no socket left. */
-    Attempt attempt(String id, Outgoing outgoing, long timeoutUs, End end) {
+    Attempt attempt(String id, Outgoing outgoing, long timeoutUs, Hearer hearer) {
         Target target = targets.get(id);
-        if (target == null || !target.open() || !target.pool.hasIdle() && !sockets.roomForBackend()) {
+        if (target == null || !target.open() || !target.pool.hasIdle() && !sockets.roomForBackend()
+                || outgoing.passage() != null && !outgoing.passage().fresh()) {
             return null;
         }
-        return new Attempt(target, outgoing, timeoutUs, end);
+        return new Attempt(target, outgoing, timeoutUs, hearer);
     }
 
     /** One backend. */
@@ -178,7 +206,7 @@
                 public void channelCreated(Channel channel) {
                     sockets.backendOpened(channel);
                     var decoder = new Decoder();
-                    channel.pipeline().addLast(decoder, new HttpRequestEncoder(), new HttpObjectAggregator(MAX_BODY),
+                    channel.pipeline().addLast(decoder, new HttpRequestEncoder(),
                             new IdleStateHandler(0, 0, idleUs, TimeUnit.MICROSECONDS),
                             new Connection(Target.this, decoder));
                 }
@@ -190,10 +218,13 @@
             return ready && !excluded.contains(id);
         }
 
-        /** Closes what is idle; returns the attempts that have not been written whole and so never ran. */
+        /**
+         * Closes what is idle; returns the attempts that have not been written whole and so never ran. One whose body is
+         * on its way has begun before, and could not be sent elsewhere.
+         */
         List<Attempt> stopped() {
             pool.closeIdle();
-            return out.stream().filter(a -> !a.written).toList();
+            return out.stream().filter(a -> !a.written && !a.sending).toList();
         }
     }
 
@@ -254,36 +285,42 @@
     }
 
     /** One attempt, from the wish for a connection to its end. */
-    final class Attempt {
+    final class Attempt implements Passage.Sink {
         private final Target target;
         private final Outgoing outgoing;
         private final long timeoutUs;
-        private final End end;
+        private final Hearer hearer;
         private long startedAt;
+        private long firstBytesAt;
         private Future<?> timer;
         private ChannelFuture connecting;
         private Channel channel;
+        private boolean sending;
         private boolean written;
         private boolean ended;
 
-        private Attempt(Target target, Outgoing outgoing, long timeoutUs, End end) {
+        private Attempt(Target target, Outgoing outgoing, long timeoutUs, Hearer hearer) {
             this.target = target;
             this.outgoing = outgoing;
             this.timeoutUs = timeoutUs;
-            this.end = end;
+            this.hearer = hearer;
         }
 
         void start() {
             startedAt = clock.now();
             target.out.add(this);
-            // Before its last byte is written it has not run for certain; after that it may, even if nothing comes.
-            timer = loop.schedule(() -> abort(written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED), timeoutUs,
-                    TimeUnit.MICROSECONDS);
+            waitForAnswer();
             Promise<Channel> promise = loop.newPromise();
             connecting = target.pool.acquireOrConnect(promise);
             promise.addListener((Future<Channel> f) -> connected(f));
         }
 
+        private void waitForAnswer() {
+            // Before its last byte is written it has not run for certain; after that it may, even if nothing comes.
+            timer = loop.schedule(() -> abort(written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED), timeoutUs,
+                    TimeUnit.MICROSECONDS);
+        }
+
         private void connected(Future<Channel> f) {
             connecting = null;
             if (!f.isSuccess()) {
@@ -302,20 +339,91 @@
         }
 
         private void write() {
+            channel.pipeline().get(Connection.class).attempt = this;
+            if (outgoing.passage() != null) {
+                pass();
+                return;
+            }
             var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, outgoing.method(), outgoing.uri(),
                     outgoing.body().retainedDuplicate());
-            Headers.copyEndToEnd(outgoing.headers(), request.headers());
-            request.headers().set(Headers.TIMEOUT, Math.max(1, startedAt + timeoutUs - clock.now()) + "u");
+            copyHeaders(request);
             if (!outgoing.method().equals(HttpMethod.GET) || request.content().isReadable()) {
                 HttpUtil.setContentLength(request, request.content().readableBytes());
             }
-            channel.pipeline().get(Connection.class).attempt = this;
-            channel.writeAndFlush(request).addListener(f -> {
-                written = f.isSuccess();
-                if (!written) {
-                    abort(Outcome.CONNECT_FAILED);
-                }
-            });
+            channel.writeAndFlush(request).addListener(this::written);
+        }
+
+        private void copyHeaders(HttpRequest request) {
+            Headers.copyEndToEnd(outgoing.headers(), request.headers());
+            request.headers().set(Headers.TIMEOUT, Math.max(1, startedAt + timeoutUs - clock.now()) + "u");
+        }
+
+        private void written(Future<?> done) {
+            written = done.isSuccess();
+            if (!written) {
+                abort(Outcome.CONNECT_FAILED);
+            } else if (sending && !ended) {
+                sending = false;
+                waitForAnswer();
+                hearer.sent();
+            }
+        }
+
+        /** Passes a body on that is still coming. How long that takes is the client's affair; the answer is due after it. */
+        private void pass() {
+            var request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, outgoing.method(), outgoing.uri());
+            copyHeaders(request);
+            String length = outgoing.headers().get(HttpHeaderNames.CONTENT_LENGTH);
+            if (length == null) {
+                HttpUtil.setTransferEncodingChunked(request, true);
+            } else {
+                request.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
+            }
+            channel.write(request);
+            timer.cancel(false);
+            sending = true;
+            hearer.sending();
+            outgoing.passage().to(this);
+        }
+
+        @Override
+        public boolean ready() {
+            return channel.isWritable();
+        }
+
+        @Override
+        public void data(ByteBuf data) {
+            channel.write(new DefaultHttpContent(data));
+        }
+
+        @Override
+        public void flush() {
+            channel.flush();
+        }
+
+        @Override
+        public void end(HttpHeaders trailers) {
+            channel.writeAndFlush(Headers.last(trailers)).addListener(this::written);
+        }
+
+        @Override
+        public void broken() {
+            // The client's doing, of which the backend has had no whole request.
+            abort(Outcome.NOT_SENT);
+        }
+
+        /** The connection takes more, or an idle one has had neither a byte read nor one written for long. */
+        private void flow() {
+            if (sending) {
+                outgoing.passage().flow();
+            }
+        }
+
+        /** A long answer has begun: from now on no time-out runs, and the latency is known. */
+        private void streams(Stream stream) {
+            timer.cancel(false);
+            firstBytesAt = clock.now();
+            hearer.streams(stream);
         }
 
         /** Ends the attempt from this side. Its connection is closed first: no other attempt goes out beside it. */
@@ -344,7 +452,11 @@
         private void report(Outcome outcome, Answer answer) {
             timer.cancel(false);
             target.out.remove(this);
-            end.ended(outcome, clock.now() - startedAt, answer);
+            if (sending) {
+                sending = false;
+                outgoing.passage().detach();
+            }
+            hearer.ended(outcome, (firstBytesAt > 0 ? firstBytesAt : clock.now()) - startedAt, answer);
         }
     }
 
@@ -353,16 +465,15 @@
         /** Netty takes a line like {@code no colon here} for a header named {@code no}; here it makes no answer. */
         @Override
         protected AsciiString splitHeaderName(byte[] line, int start, int length) {
-            int end = start + length;
-            while (end < line.length && (line[end] == ' ' || line[end] == '\t')) {
-                end++;
-            }
-            if (end == line.length || line[end] != ':') {
-                throw new IllegalArgumentException("a header line without a colon");
-            }
+            Headers.requireColon(line, start + length);
             return super.splitHeaderName(line, start, length);
         }
 
+        @Override
+        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+            throw new IllegalArgumentException("a length told in two ways");
+        }
+
         /** Returns whether all that has come is decoded. */
         boolean isEmpty() {
             return actualReadableBytes() == 0;
@@ -370,12 +481,22 @@
     }
 
     /** The reading side of a connection to a backend. */
-    private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private final class Connection extends SimpleChannelInboundHandler<HttpObject> implements Passage.Source {
         private final Target target;
         private final Decoder decoder;
+        private Channel channel;
         private Attempt attempt;
-        /** The answer that the read under way has brought, until that read is over. */
-        private FullHttpResponse answer;
+        /** The answer that is coming, and what of it has come; a long one is passed on instead. */
+        private HttpResponse head;
+        private ByteBuf body = Unpooled.EMPTY_BUFFER;
+        private Passage passage;
+        private HttpHeaders trailers;
+        /** Between an interim answer and the next. */
+        private boolean interim;
+        private boolean sound;
+        /** Nothing more is wanted of the answer; it is handed on when the read under way is over. */
+        private boolean done;
+        private boolean broken;
 
         Connection(Target target, Decoder decoder) {
             this.target = target;
@@ -383,21 +504,80 @@
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
-            if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL && readable(response)) {
+        public void handlerAdded(ChannelHandlerContext ctx) {
+            channel = ctx.channel();
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
+            if (broken) {
                 return;
             }
-            if (attempt == null || answer != null) {
+            if (message instanceof HttpResponse response && !interim(response)) {
+                head(response);
+            }
+            if (message instanceof HttpContent content) {
+                content(content);
+            }
+        }
+
+        private boolean interim(HttpResponse response) {
+            interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL && readable(response);
+            return interim;
+        }
+
+        private void head(HttpResponse response) {
+            if (attempt == null || done) {
                 // An answer that nobody has asked for: what comes next on this connection can't be trusted.
-                ctx.close();
-            } else {
-                answer = response.retain();
+                channel.close();
+                return;
+            }
+            head = response;
+            sound = readable(response);
+            if (!sound) {
+                done = true;
+            } else if (HttpUtil.getContentLength(response, 0L) > MAX_BODY) {
+                longAnswer();
+            }
+        }
+
+        /** An answer of which more comes than is taken in whole. */
+        private void longAnswer() {
+            if (outcome() != Outcome.OK) {
+                // Nobody wants to read the rest of it.
+                done = true;
+                return;
+            }
+            passage = new Passage(body, this, buffers);
+            body = Unpooled.EMPTY_BUFFER;
+            attempt.streams(new Stream(head.headers(), HttpUtil.getContentLength(head, -1L), passage));
+        }
+
+        private void content(HttpContent content) {
+            boolean last = content instanceof LastHttpContent;
+            if (interim || head == null || done) {
+                interim &= !last;
+                return;
+            }
+            sound = content.decoderResult().isSuccess();
+            int bytes = content.content().readableBytes();
+            if (sound && passage == null && bytes > 0 && (body.readableBytes() + bytes > MAX_BODY || buffers.full())) {
+                longAnswer();
+            }
+            if (sound && passage != null) {
+                passage.add(content.content().retain());
+            } else if (sound && !done) {
+                body = Headers.gather(body, content.content(), channel.alloc(), buffers);
+            }
+            if (last && sound) {
+                trailers = ((LastHttpContent) content).trailingHeaders();
             }
+            done |= last || !sound;
         }
 
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
-            settle(ctx);
+            settle();
             super.channelReadComplete(ctx);
         }
 
@@ -405,53 +585,97 @@
          * Hands the answer on, only now that all that came with it is read: the next attempt may take this very
          * connection, and would be given whatever the backend has sent behind the answer.
          */
-        private void settle(ChannelHandlerContext ctx) {
-            if (answer == null) {
+        private void settle() {
+            if (!done || attempt == null) {
                 return;
             }
-            FullHttpResponse response = answer;
             Attempt a = attempt;
-            answer = null;
-            attempt = null;
-            try {
-                boolean sound = readable(response);
-                // Back into the pool before the module hears: what it sends next may take this very connection.
-                if (sound && a.written && HttpUtil.isKeepAlive(response) && target.open() && ctx.channel().isActive()
-                        && decoder.isEmpty()) {
-                    target.pool.release(ctx.channel());
-                } else {
-                    ctx.close();
-                }
-                Outcome outcome = outcome(response, sound);
-                a.end(outcome, outcome == Outcome.OK ? new Answer(response.headers(), response.content().retain()) : null);
-            } finally {
-                response.release();
+            Outcome outcome = outcome();
+            HttpHeaders headers = head.headers();
+            ByteBuf whole = body;
+            Passage passed = passage;
+            boolean reusable = trailers != null && a.written && HttpUtil.isKeepAlive(head) && target.open()
+                    && channel.isActive() && decoder.isEmpty();
+            HttpHeaders last = trailers;
+            forget();
+            // Back into the pool before the module hears: what it sends next may take this very connection.
+            if (reusable) {
+                target.pool.release(channel);
+            } else {
+                channel.close();
+            }
+            buffers.letGo(whole.readableBytes());
+            if (passed != null && last != null) {
+                passed.end(last);
+                a.end(Outcome.OK, null);
+            } else if (passed != null) {
+                passed.breakOff();
+                a.end(Outcome.RESET, null);
+            } else if (outcome == Outcome.OK) {
+                a.end(outcome, new Answer(headers, whole));
+            } else {
+                whole.release();
+                a.end(outcome, null);
             }
         }
 
+        private void forget() {
+            attempt = null;
+            head = null;
+            body = Unpooled.EMPTY_BUFFER;
+            passage = null;
+            trailers = null;
+            done = false;
+        }
+
         /** Nobody has asked for another protocol, and what follows an agreement to one is no answer of HTTP/1. */
-        private static boolean readable(FullHttpResponse response) {
+        private static boolean readable(HttpResponse response) {
             return response.decoderResult().isSuccess() && response.protocolVersion().majorVersion() == 1
                     && !response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
         }
 
-        private Outcome outcome(FullHttpResponse response, boolean sound) {
-            int status = response.status().code();
+        private Outcome outcome() {
+            int status = head.status().code();
             if (sound && status == 200) {
                 return Outcome.OK;
             }
-            boolean turnedAway = (status == 503 || status == 504)
-                    && "1".equals(response.headers().get(Headers.NOT_PROCESSED));
+            boolean turnedAway = (status == 503 || status == 504) && "1".equals(head.headers().get(Headers.NOT_PROCESSED));
             return sound && turnedAway ? Outcome.FULL : Outcome.ERROR;
         }
 
         @Override
-        public void channelInactive(ChannelHandlerContext ctx) throws Exception {
-            target.pool.closed(ctx.channel());
-            settle(ctx);
+        public void reading(boolean on) {
+            channel.config().setAutoRead(on);
+        }
+
+        @Override
+        public void unwanted() {
+            if (attempt != null) {
+                attempt.abort(Outcome.CANCELLED);
+            }
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext ctx) throws Exception {
             if (attempt != null) {
-                Attempt a = attempt;
-                attempt = null;
+                attempt.flow();
+            }
+            super.channelWritabilityChanged(ctx);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) throws Exception {
+            target.pool.closed(channel);
+            settle();
+            Attempt a = attempt;
+            Passage passed = passage;
+            buffers.letGo(body.readableBytes());
+            body.release();
+            forget();
+            if (passed != null) {
+                passed.breakOff();
+            }
+            if (a != null) {
                 a.end(a.written ? Outcome.RESET : Outcome.CONNECT_FAILED, null);
             }
             super.channelInactive(ctx);
@@ -459,23 +683,22 @@
 
         @Override
         public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
-            if (event instanceof IdleStateEvent && attempt == null) {
-                ctx.close();
+            if (event instanceof IdleStateEvent) {
+                // An attempt has its time-out; a body that is passed on has none but this.
+                boolean silent = passage != null && channel.config().isAutoRead();
+                boolean stuck = attempt != null && attempt.sending && !channel.isWritable();
+                if (attempt == null || silent || stuck) {
+                    ctx.close();
+                }
             }
             super.userEventTriggered(ctx, event);
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            // An answer too long to pass on is an answer all the same; anything else is a break of the connection.
-            if (cause instanceof TooLongHttpContentException && attempt != null && answer == null) {
-                Attempt a = attempt;
-                attempt = null;
-                ctx.close();
-                a.end(Outcome.ERROR, null);
-            } else {
-                ctx.close();
-            }
+            // What the decoder makes of the end that follows is no end of an answer.
+            broken = true;
+            ctx.close();
         }
     }
 }
--- a/src/main/java/beechfall/proxy/Config.java
+++ b/src/main/java/beechfall/proxy/Config.java
@@ -20,11 +20,12 @@
  *
  * @param operator where the operators call; null where they don't
  * @param known the backends as this proxy last had them, in discovery's form; null where there are none
+ * @param memory the bytes of memory that the process has
  * @param cores the part of a core that the process has
  * @param connIdleUs a backend closes a connection that has stood idle for so long
  */
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress operator,
-        int sockets, double cores, JsonNode known, Balancer.Settings settings, long connIdleUs, long connectTimeoutUs) {
+        int sockets, long memory, double cores, JsonNode known, Balancer.Settings settings, long connIdleUs, long connectTimeoutUs) {
 
     static final ObjectMapper JSON = new ObjectMapper();
 
@@ -56,7 +57,7 @@
         flatten("", settings, values);
         try {
             return new Config(text(json, "name"), address(json, "listen"), address(json, "discovery"),
-                    json.has("operator") ? address(json, "operator") : null, sockets(json), cores(json),
+                    json.has("operator") ? address(json, "operator") : null, sockets(json), memory(json), cores(json),
                     json.path("known").isObject() ? json.path("known") : null,
                     SettingsReader.read(values, seed(json)),
                     SettingsReader.whole(values, "bounds.conn_idle_us"),
@@ -115,6 +116,14 @@
         return limit.asInt();
     }
 
+    private static long memory(JsonNode json) throws BadConfig {
+        long mb = json.path("limits").path("memory_mb").asLong(192);
+        if (mb < 1) {
+            throw new BadConfig("'limits.memory_mb': a number above 0 is wanted");
+        }
+        return mb * 1024 * 1024;
+    }
+
     private static double cores(JsonNode json) throws BadConfig {
         double cores = json.path("limits").path("cores").asDouble(1);
         if (!(cores > 0)) {
--- a/src/main/java/beechfall/proxy/Frontend.java
+++ b/src/main/java/beechfall/proxy/Frontend.java
@@ -18,20 +18,26 @@
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.AsciiString;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.SocketAddress;
@@ -59,8 +65,10 @@
     /** How often the loop shows that it runs, and how late that may be before it counts as held up. */
     private static final long BEAT_US = 10_000;
     private static final long IDLE_S = 60;
-    /** A peer whose request is not whole by then is owed an error or a close; the platform allows 3 s. */
-    private static final long WHOLE_MS = 2_500;
+    /** A peer whose request's head is not whole by then is owed an error or a close; the platform allows 3 s. */
+    private static final long HEAD_MS = 2_500;
+    /** A body has to bring so much in each such time: a tenth of what the platform's slowest client sends. */
+    private static final int LEAST_BYTES = 16 * 1024;
     private static final long LINGER_MS = 1_000;
     private static final int BACKLOG = 1_024;
     /** Requests read ahead on one connection; clients send one at a time, so more is not worth memory. */
@@ -70,6 +78,7 @@
     private final Log log;
     private final Proxy proxy;
     private final Sockets sockets;
+    private final Buffers buffers;
     private final BooleanSupplier ready;
     private final Map<String, Balancer.Effect> effects = new HashMap<>();
     private final Set<String> tenants = new HashSet<>();
@@ -81,11 +90,13 @@
     private long beatAt;
     private long heldUpFrom = Long.MAX_VALUE;
 
-    Frontend(Clock clock, Log log, Proxy proxy, Sockets sockets, Balancer.Settings settings, BooleanSupplier ready) {
+    Frontend(Clock clock, Log log, Proxy proxy, Sockets sockets, Buffers buffers, Balancer.Settings settings,
+            BooleanSupplier ready) {
         this.clock = clock;
         this.log = log;
         this.proxy = proxy;
         this.sockets = sockets;
+        this.buffers = buffers;
         this.ready = ready;
         settings.classes().forEach(c -> effects.put(c.name(), c.effect()));
         settings.tenants().forEach(t -> tenants.add(t.name()));
@@ -137,6 +148,8 @@
         @Override
         protected void initChannel(Channel channel) {
             sockets.clientOpened(channel);
+            channel.config().setRecvByteBufAllocator(Headers.readingLittle());
+            channel.config().setWriteBufferWaterMark(Headers.WATER_MARK);
             channel.pipeline().addLast(new Connection());
         }
     }
@@ -203,8 +216,12 @@
         private final Queue<Exchange> waiting = new ArrayDeque<>();
         private Channel channel;
         private Exchange exchange;
-        private long firstByteAt = -1;
-        private long lastReadAt;
+        private Intake intake;
+        /** Whether bytes of a request have come that is not whole yet. */
+        private boolean receiving;
+        private boolean bodyPaused;
+        private int progress;
+        private long readAt;
         private FullHttpResponse parting;
         private Future<?> overdue;
 
@@ -212,30 +229,37 @@
         public void handlerAdded(ChannelHandlerContext ctx) {
             channel = ctx.channel();
             connections.add(this);
-            expectRequest();
-            channel.pipeline().addLast(new IdleStateHandler(0, 0, IDLE_S, TimeUnit.SECONDS), new HttpServerCodec(),
-                    new Aggregator(this), new Requests(this));
+            expectHead();
+            channel.pipeline().addLast(new IdleStateHandler(0, 0, IDLE_S, TimeUnit.SECONDS), new RequestDecoder(),
+                    new HttpResponseEncoder(), new Requests(this));
         }
 
-        /** A client's patience began when it sent; the nearest to it that can be known is its first byte. */
+        /** A request's time counts from its last byte; the nearest to its sending that can be known is this read. */
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
-            if (firstByteAt < 0) {
-                firstByteAt = Math.min(heldUpFrom, arrivedAt(clock.now()));
-                expectRequest();
+            readAt = Math.min(heldUpFrom, arrivedAt(clock.now()));
+            if (!receiving) {
+                receiving = true;
+                expectHead();
                 sockets.clientIdle(channel, false);
             }
             super.channelRead(ctx, message);
         }
 
         /** Not a matter of silence: one byte now and then would keep an unfinished request, and its socket, for ever. */
-        private void expectRequest() {
+        private void expectHead() {
             if (overdue == null) {
-                overdue = channel.eventLoop().schedule(this::unfinished, WHOLE_MS, TimeUnit.MILLISECONDS);
+                overdue = channel.eventLoop().schedule(this::unfinished, HEAD_MS, TimeUnit.MILLISECONDS);
             }
         }
 
-        private void requestIsWhole() {
+        private void expectProgress() {
+            stopExpecting();
+            progress = 0;
+            overdue = channel.eventLoop().schedule(this::stalled, HEAD_MS, TimeUnit.MILLISECONDS);
+        }
+
+        private void stopExpecting() {
             if (overdue != null) {
                 overdue.cancel(false);
                 overdue = null;
@@ -243,18 +267,33 @@
         }
 
         private void unfinished() {
-            if (firstByteAt < 0) {
+            if (receiving) {
+                part(tooSlow());
+            } else {
                 channel.close();
+            }
+        }
+
+        /** A body that the proxy itself is not reading, or has not asked for yet, is not late. */
+        private void stalled() {
+            if (progress >= LEAST_BYTES || !channel.config().isAutoRead() || intake.announced) {
+                expectProgress();
             } else {
-                part(plain(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not end in time"));
+                giveUpIntake();
+                part(tooSlow());
             }
         }
 
+        private FullHttpResponse tooSlow() {
+            return plain(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not end in time");
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext ctx) throws Exception {
             connections.remove(this);
-            requestIsWhole();
-            waiting.forEach(e -> e.request.release());
+            stopExpecting();
+            giveUpIntake();
+            waiting.forEach(Exchange::clientGone);
             waiting.clear();
             if (exchange != null) {
                 Exchange gone = exchange;
@@ -264,35 +303,97 @@
             super.channelInactive(ctx);
         }
 
-        void request(FullHttpRequest request) {
-            requestIsWhole();
-            if (parting != null || request.decoderResult().isFailure() || request.protocolVersion().majorVersion() != 1) {
-                request.release();
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext ctx) throws Exception {
+            if (exchange != null) {
+                exchange.flow();
+            }
+            super.channelWritabilityChanged(ctx);
+        }
+
+        void received(HttpObject message) {
+            if (parting != null) {
+                return;
+            }
+            if (message.decoderResult().isFailure()) {
+                giveUpIntake();
                 part(plain(HttpResponseStatus.BAD_REQUEST, "not a request that can be read"));
                 return;
             }
-            // Where several came in one read, all of them came when that read did.
-            lastReadAt = firstByteAt < 0 ? lastReadAt : firstByteAt;
-            firstByteAt = -1;
-            var next = new Exchange(this, request, lastReadAt);
+            if (message instanceof HttpRequest head) {
+                begins(head);
+            }
+            if (message instanceof HttpContent content && intake != null) {
+                intake.add(content);
+            }
+        }
+
+        private void begins(HttpRequest head) {
+            try {
+                Framing.check(head);
+                intake = new Intake(this, head);
+                expectProgress();
+                if (exchange == null) {
+                    intake.invite();
+                }
+            } catch (Framing.Unacceptable e) {
+                part(plain(e.status(), e.getMessage()));
+            }
+        }
+
+        /** The request that is coming will not be whole; if it is being passed on already, its client is as good as gone. */
+        private void giveUpIntake() {
+            if (intake == null) {
+                return;
+            }
+            Intake gone = intake;
+            intake = null;
+            if (gone.passed == null) {
+                gone.release();
+            } else if (gone.passed == exchange) {
+                exchange = null;
+                gone.passed.clientGone();
+            } else if (waiting.remove(gone.passed)) {
+                gone.passed.clientGone();
+            }
+        }
+
+        private void whole() {
+            intake = null;
+            receiving = false;
+            stopExpecting();
+        }
+
+        private void take(Exchange next) {
             if (exchange == null) {
                 exchange = next;
                 next.begin();
             } else {
                 waiting.add(next);
-                channel.config().setAutoRead(waiting.size() < PIPELINED);
+                read();
             }
         }
 
+        private void read() {
+            channel.config().setAutoRead(!bodyPaused && waiting.size() < PIPELINED);
+        }
+
+        void pauseBody(boolean on) {
+            bodyPaused = on;
+            read();
+        }
+
         /** The exchange is over; the next that was read ahead begins. */
         void answered(boolean keepAlive) {
             exchange = keepAlive ? waiting.poll() : null;
             if (exchange != null) {
-                channel.config().setAutoRead(true);
+                read();
                 exchange.begin();
             } else if (parting != null) {
                 hangUp();
-            } else if (keepAlive && firstByteAt < 0) {
+            } else if (keepAlive && intake != null) {
+                intake.invite();
+            } else if (keepAlive && !receiving) {
                 // Not sooner: a new connection's first request may wait unread, and is taken all the same.
                 sockets.clientIdle(channel, true);
             }
@@ -304,26 +405,39 @@
         }
 
         void closeIfIdle() {
-            if (exchange == null && firstByteAt < 0) {
+            if (exchange == null && !receiving) {
                 channel.close();
             }
         }
 
         /** Answers what can't be read as a request, after those that came before it; nothing is read beyond it. */
         void part(FullHttpResponse answer) {
-            if (parting == null) {
-                parting = answer;
-                if (exchange == null) {
-                    hangUp();
-                }
+            if (parting != null) {
+                answer.release();
+                return;
+            }
+            parting = answer;
+            if (exchange == null) {
+                hangUp();
             }
         }
 
+        /** The exchange is answered before its request has come whole: what comes on is nobody's. */
+        void partEarly(FullHttpResponse answer) {
+            exchange = null;
+            intake = null;
+            stopExpecting();
+            waiting.forEach(Exchange::clientGone);
+            waiting.clear();
+            part(answer);
+        }
+
         /**
          * Closing with bytes unread would reset the connection, and the client would lose the answer: so this side
          * ends its sending, and the rest is read and dropped for a while.
          */
         private void hangUp() {
+            channel.config().setAutoRead(true);
             HttpUtil.setKeepAlive(parting, false);
             channel.writeAndFlush(parting).addListener(f -> {
                 ((DuplexChannel) channel).shutdownOutput();
@@ -332,22 +446,86 @@
         }
     }
 
-    /** Puts requests together; one that is too long is answered as such, and its rest is not waited for. */
-    private static final class Aggregator extends HttpObjectAggregator {
+    /** A request that is coming. It is gathered whole, unless it is long: then the exchange begins before it has ended. */
+    private final class Intake implements Passage.Source {
         private final Connection connection;
+        private final HttpRequest head;
+        private ByteBuf body = Unpooled.EMPTY_BUFFER;
+        /** Whether the client waits to be told to send the body. */
+        private boolean announced;
+        private Exchange passed;
 
-        Aggregator(Connection connection) {
-            super(Backends.MAX_BODY);
+        Intake(Connection connection, HttpRequest head) {
             this.connection = connection;
+            this.head = head;
+            this.announced = HttpUtil.is100ContinueExpected(head);
+        }
+
+        /** Not while an earlier request is being answered: the client would take it for a part of that answer. */
+        void invite() {
+            if (announced) {
+                announced = false;
+                connection.channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+            }
+        }
+
+        void add(HttpContent content) {
+            ByteBuf bytes = content.content();
+            connection.progress += bytes.readableBytes();
+            announced &= !bytes.isReadable();
+            if (passed == null && bytes.isReadable()
+                    && (body.readableBytes() + bytes.readableBytes() > Backends.MAX_BODY || buffers.full())) {
+                var passage = new Passage(body, this, buffers);
+                body = Unpooled.EMPTY_BUFFER;
+                passed = new Exchange(connection, head, body, passage);
+                connection.take(passed);
+            }
+            if (passed != null) {
+                passed.passage.add(bytes.retain());
+            } else {
+                body = Headers.gather(body, bytes, connection.channel.alloc(), buffers);
+            }
+            if (content instanceof LastHttpContent last && connection.intake == this) {
+                connection.whole();
+                if (passed == null) {
+                    connection.take(new Exchange(connection, head, body, null));
+                } else {
+                    passed.whole(last.trailingHeaders());
+                }
+            }
+        }
+
+        void release() {
+            buffers.letGo(body.readableBytes());
+            body.release();
+        }
+
+        @Override
+        public void reading(boolean on) {
+            connection.pauseBody(!on);
         }
 
         @Override
-        protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
-            connection.part(plain(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is longer than 64 KiB"));
+        public void unwanted() {
+            // What still comes is dropped, and the client hears why when the exchange is answered.
         }
     }
 
-    private final class Requests extends SimpleChannelInboundHandler<FullHttpRequest> {
+    /** Netty's decoder, where it would let pass what has no meaning, or two. */
+    private static final class RequestDecoder extends HttpRequestDecoder {
+        @Override
+        protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+            Headers.requireColon(line, start + length);
+            return super.splitHeaderName(line, start, length);
+        }
+
+        @Override
+        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+            throw new IllegalArgumentException("a length told in two ways");
+        }
+    }
+
+    private final class Requests extends SimpleChannelInboundHandler<HttpObject> {
         private final Connection connection;
 
         Requests(Connection connection) {
@@ -355,13 +533,14 @@
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-            connection.request(request.retain());
+        protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
+            connection.received(message);
         }
 
         @Override
         public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
-            if (event instanceof IdleStateEvent && connection.exchange == null) {
+            // One whose client has taken nothing of its answer for so long has no client.
+            if (event instanceof IdleStateEvent && (connection.exchange == null || connection.exchange.answer != null)) {
                 ctx.close();
             }
             super.userEventTriggered(ctx, event);
@@ -385,28 +564,41 @@
     }
 
     /** A request and its one answer. */
-    private final class Exchange implements Proxy.Reply {
+    private final class Exchange implements Proxy.Reply, Passage.Sink {
         private final Connection connection;
-        private final FullHttpRequest request;
-        private final long firstByteAt;
+        private final HttpRequest head;
+        private final ByteBuf body;
+        /** The body, where it is too long to be taken in whole; else null. */
+        private final Passage passage;
+        private boolean whole;
+        private long arrivedAt;
+        private long patienceUs;
         private String id;
+        /** A long answer, from when it begins until it ends, and whether the connection goes on after it. */
+        private Passage answer;
+        private boolean keepAlive;
+        private boolean released;
 
-        Exchange(Connection connection, FullHttpRequest request, long firstByteAt) {
+        Exchange(Connection connection, HttpRequest head, ByteBuf body, Passage passage) {
             this.connection = connection;
-            this.request = request;
-            this.firstByteAt = firstByteAt;
+            this.head = head;
+            this.body = body;
+            this.passage = passage;
+            this.whole = passage == null;
+            this.arrivedAt = connection.readAt;
         }
 
         void begin() {
             Proxy.Incoming incoming;
             try {
-                var uri = new QueryStringDecoder(request.uri());
+                String target = Framing.originForm(head.uri());
+                var uri = new QueryStringDecoder(target);
                 if (uri.rawPath().equals("/ready")) {
-                    answer(ready() ? plain(HttpResponseStatus.OK, "ready")
+                    answer(Frontend.this.ready() ? plain(HttpResponseStatus.OK, "ready")
                             : plain(HttpResponseStatus.SERVICE_UNAVAILABLE, "not ready"));
                     return;
                 }
-                incoming = incoming(uri);
+                incoming = incoming(target, uri);
             } catch (Rejected e) {
                 answer(plain(e.status, e.getMessage()));
                 return;
@@ -418,18 +610,32 @@
             proxy.arrived(incoming, this);
         }
 
-        private Proxy.Incoming incoming(QueryStringDecoder uri) throws Rejected {
+        /** The rest of a long request has come: its time begins to run. */
+        void whole(HttpHeaders trailers) {
+            whole = true;
+            arrivedAt = connection.readAt;
+            passage.end(trailers);
+            if (id != null) {
+                proxy.whole(id, deadline());
+            }
+        }
+
+        private long deadline() {
+            return Math.min(latestDeadline, arrivedAt + patienceUs - Math.min(ON_ITS_WAY_US, patienceUs / 10));
+        }
+
+        private Proxy.Incoming incoming(String target, QueryStringDecoder uri) throws Rejected {
             if (!uri.rawPath().equals("/api") && !uri.rawPath().startsWith("/api/")) {
                 throw new Rejected(HttpResponseStatus.NOT_FOUND, "no such path");
             }
-            HttpHeaders headers = request.headers();
+            HttpHeaders headers = head.headers();
             String requestClass = header(headers, Headers.REQUEST_CLASS);
             Balancer.Effect effect = effects.get(requestClass);
             if (effect == null) {
                 throw new Rejected(HttpResponseStatus.BAD_REQUEST, "unknown " + Headers.REQUEST_CLASS);
             }
             HttpMethod wanted = effect == Balancer.Effect.SAFE ? HttpMethod.GET : HttpMethod.POST;
-            if (!request.method().equals(wanted)) {
+            if (!head.method().equals(wanted)) {
                 throw new Rejected(HttpResponseStatus.METHOD_NOT_ALLOWED, "this class is asked for with " + wanted);
             }
             if (effect == Balancer.Effect.KEYED) {
@@ -447,11 +653,10 @@
                 throw new Rejected(HttpResponseStatus.CONFLICT, "a request with this id is being served");
             }
             List<String> keys = uri.parameters().get("k");
-            long patienceUs = patienceUs(header(headers, Headers.TIMEOUT));
-            long deadline = Math.min(latestDeadline, firstByteAt + patienceUs - Math.min(ON_ITS_WAY_US, patienceUs / 10));
+            patienceUs = patienceUs(header(headers, Headers.TIMEOUT));
             return new Proxy.Incoming(requestId, requestClass, tenant, keys == null ? null : keys.get(0),
-                    "1".equals(headers.get(Headers.RETRIED)), costUs(headers.get(Headers.COST)), deadline,
-                    new Backends.Outgoing(request.method(), request.uri(), headers, request.content()));
+                    "1".equals(headers.get(Headers.RETRIED)), costUs(headers.get(Headers.COST)), deadline(), whole,
+                    new Backends.Outgoing(head.method(), target, headers, body, passage));
         }
 
         private static String header(HttpHeaders headers, String name) throws Rejected {
@@ -502,21 +707,110 @@
                 answer.release();
                 return;
             }
-            boolean keepAlive = HttpUtil.isKeepAlive(request) && !(closing && connection.last());
+            release();
+            if (!whole) {
+                connection.partEarly(answer);
+                return;
+            }
+            keepAlive = staysOpen();
             HttpUtil.setKeepAlive(answer, keepAlive);
-            request.release();
-            ChannelFuture written = connection.channel.writeAndFlush(answer);
+            if (head.method().equals(HttpMethod.HEAD)) {
+                answer.content().clear();
+            }
+            over(connection.channel.writeAndFlush(answer));
+        }
+
+        private boolean staysOpen() {
+            return HttpUtil.isKeepAlive(head) && !(closing && connection.last());
+        }
+
+        private void over(ChannelFuture written) {
             if (!keepAlive) {
                 written.addListener(ChannelFutureListener.CLOSE);
             }
             connection.answered(keepAlive);
         }
 
+        @Override
+        public void streams(Backends.Stream stream) {
+            if (connection.exchange != this || !whole) {
+                // An answer to a request that has not ended can't be passed on beside it.
+                stream.body().cancel();
+                failed();
+                return;
+            }
+            release();
+            keepAlive = staysOpen();
+            var response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+            Headers.copyEndToEnd(stream.headers(), response.headers());
+            if (stream.length() >= 0) {
+                HttpUtil.setContentLength(response, stream.length());
+            } else if (head.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
+                keepAlive = false;
+            } else {
+                HttpUtil.setTransferEncodingChunked(response, true);
+            }
+            HttpUtil.setKeepAlive(response, keepAlive);
+            connection.channel.write(response);
+            answer = stream.body();
+            answer.to(this);
+        }
+
+        void flow() {
+            if (answer != null) {
+                answer.flow();
+            }
+        }
+
+        @Override
+        public boolean ready() {
+            return connection.channel.isWritable();
+        }
+
+        @Override
+        public void data(ByteBuf data) {
+            connection.channel.write(new DefaultHttpContent(data));
+        }
+
+        @Override
+        public void flush() {
+            connection.channel.flush();
+        }
+
+        @Override
+        public void end(HttpHeaders trailers) {
+            answer = null;
+            over(connection.channel.writeAndFlush(Headers.last(trailers)));
+        }
+
+        /** A reset, as an answer of unknown length would look whole to an old client if its connection simply ended. */
+        @Override
+        public void broken() {
+            answer = null;
+            connection.channel.config().setOption(ChannelOption.SO_LINGER, 0);
+            connection.channel.close();
+        }
+
+        private void release() {
+            if (released) {
+                return;
+            }
+            released = true;
+            if (passage == null) {
+                buffers.letGo(body.readableBytes());
+                body.release();
+            } else {
+                passage.breakOff();
+            }
+        }
+
         void clientGone() {
-            request.release();
-            if (id != null) {
+            if (answer != null) {
+                answer.cancel();
+            } else if (id != null) {
                 proxy.clientGone(id);
             }
+            release();
         }
     }
 }
--- a/src/main/java/beechfall/proxy/Headers.java
+++ b/src/main/java/beechfall/proxy/Headers.java
@@ -1,7 +1,15 @@
 package beechfall.proxy;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.RecvByteBufAllocator;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.LastHttpContent;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
@@ -22,8 +30,51 @@
             "trailer", "transfer-encoding", "upgrade", "proxy-authenticate", "proxy-authorization", "content-length",
             "expect");
 
+    /** What one connection may have waiting to be written before it counts as busy. */
+    static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(16 * 1024, 32 * 1024);
+    private static final int READ_AT_ONCE = 16 * 1024;
+
     private Headers() { }
 
+    /** Returns one for a connection's reads: of hundreds of connections none may take in much at a time. */
+    static RecvByteBufAllocator readingLittle() {
+        return new AdaptiveRecvByteBufAllocator(64, 2_048, READ_AT_ONCE);
+    }
+
+    /**
+     * Returns what has been gathered of a body and its next bytes. They are copied: a small piece would keep the whole
+     * of what was read with it.
+     */
+    static ByteBuf gather(ByteBuf body, ByteBuf next, ByteBufAllocator allocator, Buffers buffers) {
+        if (!next.isReadable()) {
+            return body;
+        }
+        buffers.hold(next.readableBytes());
+        ByteBuf into = body == Unpooled.EMPTY_BUFFER ? allocator.buffer(next.readableBytes()) : body;
+        return into.writeBytes(next, next.readerIndex(), next.readableBytes());
+    }
+
+    /** Returns the end of a message with those of its trailers that are for the other end. */
+    static LastHttpContent last(HttpHeaders trailers) {
+        if (trailers.isEmpty()) {
+            return LastHttpContent.EMPTY_LAST_CONTENT;
+        }
+        var last = new DefaultLastHttpContent();
+        copyEndToEnd(trailers, last.trailingHeaders());
+        return last;
+    }
+
+    /** Netty takes a line like {@code nothing} for a header of that name; by the protocol no message has one. */
+    static void requireColon(byte[] line, int nameEnd) {
+        int end = nameEnd;
+        while (end < line.length && (line[end] == ' ' || line[end] == '\t')) {
+            end++;
+        }
+        if (end == line.length || line[end] != ':') {
+            throw new IllegalArgumentException("a header line without a colon");
+        }
+    }
+
     static void copyEndToEnd(HttpHeaders from, HttpHeaders to) {
         boolean named = from.contains(HttpHeaderNames.CONNECTION);
         for (Map.Entry<String, String> header : from) {
--- a/src/main/java/beechfall/proxy/Proxy.java
+++ b/src/main/java/beechfall/proxy/Proxy.java
@@ -20,10 +20,13 @@
  * It decides nothing. All of it runs on the one event loop.
  */
 final class Proxy {
-    /** The client's side of a request. Exactly one of the three is called, once. */
+    /** The client's side of a request. Exactly one of these is called, once. */
     interface Reply {
         void served(Backends.Answer answer);
 
+        /** Served, with an answer that is still coming. */
+        void streams(Backends.Stream stream);
+
         void refused(long retryAfterUs);
 
         void failed();
@@ -31,10 +34,11 @@
 
     /**
      * A client's request. {@code deadlineUs} is on the proxy's clock: the last moment at which an answer can leave and
-     * still be there before the client gives up.
+     * still be there before the client gives up; where the request has not come {@code whole} yet, the time from there
+     * on is not running.
      */
     record Incoming(String id, String requestClass, String tenant, String key, boolean repeat, long costUs,
-            long deadlineUs, Backends.Outgoing outgoing) { }
+            long deadlineUs, boolean whole, Backends.Outgoing outgoing) { }
 
     /** A request and its attempts, kept until it is answered and no attempt is out. */
     private static final class Request {
@@ -42,13 +46,24 @@
         private final Reply reply;
         /** By their numbers; null where the attempt was never sent. */
         private final List<Backends.Attempt> attempts = new ArrayList<>(2);
+        private final long patienceUs;
+        private long deadlineUs;
+        private boolean whole;
         private int out;
         private boolean over;
         private Future<?> safety;
 
-        Request(Incoming incoming, Reply reply) {
+        Request(Incoming incoming, Reply reply, long now) {
             this.incoming = incoming;
             this.reply = reply;
+            this.deadlineUs = incoming.deadlineUs();
+            this.patienceUs = deadlineUs - now;
+            this.whole = incoming.whole();
+        }
+
+        /** What is left of its time, all of it as long as the request is still coming. */
+        long leftUs(long now) {
+            return whole ? deadlineUs - now : patienceUs;
         }
     }
 
@@ -97,13 +112,29 @@
             reply.failed();
             return;
         }
-        var r = new Request(incoming, reply);
+        var r = new Request(incoming, reply, now);
         requests.put(incoming.id(), r);
-        r.safety = loop.schedule(() -> overdue(r), incoming.deadlineUs() + SAFETY_US - now, TimeUnit.MICROSECONDS);
+        if (r.whole) {
+            watch(r);
+        }
         deliver(new Balancer.Arrival(incoming.id(), incoming.requestClass(), incoming.tenant(), incoming.key(),
                 incoming.deadlineUs() - now, incoming.repeat(), incoming.costUs()));
     }
 
+    /** A request that was still coming is whole now: its time runs from here on. */
+    void whole(String id, long deadlineUs) {
+        Request r = requests.get(id);
+        if (r != null && !r.over) {
+            r.deadlineUs = deadlineUs;
+            r.whole = true;
+            watch(r);
+        }
+    }
+
+    private void watch(Request r) {
+        r.safety = loop.schedule(() -> overdue(r), r.deadlineUs + SAFETY_US - clock.now(), TimeUnit.MICROSECONDS);
+    }
+
     /** The client has closed its connection before it had an answer. */
     void clientGone(String id) {
         Request r = requests.get(id);
@@ -149,16 +180,50 @@
         deliver(new Balancer.Included(backend));
     }
 
-    private void ended(Request r, int number, String backend, Outcome outcome, long latencyUs,
-            Backends.Answer answer) {
-        r.out--;
-        if (outcome == Outcome.OK && !r.over) {
-            answer(r, reply -> reply.served(answer));
-        } else if (answer != null) {
-            answer.body().release();
+    /** What becomes of one attempt of a request. */
+    private final class Course implements Backends.Hearer {
+        private final Request r;
+        private final int number;
+        private final String backend;
+
+        Course(Request r, int number, String backend) {
+            this.r = r;
+            this.number = number;
+            this.backend = backend;
+        }
+
+        @Override
+        public void sending() {
+            deliver(new Balancer.RequestSending(r.incoming.id(), number));
+        }
+
+        @Override
+        public void sent() {
+            deliver(new Balancer.RequestSent(r.incoming.id(), number, r.leftUs(clock.now())));
+        }
+
+        @Override
+        public void streams(Backends.Stream stream) {
+            if (r.over) {
+                stream.body().cancel();
+            } else {
+                // The module first: it may not count on this request for anything that the answer sets off.
+                deliver(new Balancer.StreamStarted(r.incoming.id(), number));
+                answer(r, reply -> reply.streams(stream));
+            }
+        }
+
+        @Override
+        public void ended(Outcome outcome, long latencyUs, Backends.Answer answer) {
+            r.out--;
+            if (answer != null && !r.over) {
+                answer(r, reply -> reply.served(answer));
+            } else if (answer != null) {
+                answer.body().release();
+            }
+            deliver(new Balancer.AttemptEnded(r.incoming.id(), number, backend, outcome, latencyUs, r.over));
+            forget(r);
         }
-        deliver(new Balancer.AttemptEnded(r.incoming.id(), number, backend, outcome, latencyUs, r.over));
-        forget(r);
     }
 
     /** Gives the one answer; where that goes wrong it is a failure, as the request is taken all the same. */
@@ -174,7 +239,9 @@
 
     private void over(Request r) {
         r.over = true;
-        r.safety.cancel(false);
+        if (r.safety != null) {
+            r.safety.cancel(false);
+        }
     }
 
     private void forget(Request r) {
@@ -270,12 +337,12 @@
             return;
         }
         int number = r.attempts.size();
-        long left = r.incoming.deadlineUs() - clock.now();
+        long left = r.leftUs(clock.now());
         long timeoutUs = send.timeoutUs() == 0 ? left : Math.min(send.timeoutUs(), left);
         Backends.Attempt attempt = null;
         if (!r.over && number < limits.maxAttempts() && timeoutUs > 0 && (r.out == 0 || limits.secondCopies())) {
             attempt = backends.attempt(send.backend(), r.incoming.outgoing(), timeoutUs,
-                    (outcome, latencyUs, answer) -> ended(r, number, send.backend(), outcome, latencyUs, answer));
+                    new Course(r, number, send.backend()));
         }
         r.attempts.add(attempt);
         if (attempt == null) {
--- a/src/main/java/beechfall/proxy/Serve.java
+++ b/src/main/java/beechfall/proxy/Serve.java
@@ -29,6 +29,8 @@
     /** What is taken is answered so long before the end: the answer is to be written as well. */
     private static final long WRITING_MS = 100;
 
+    /** Bodies that are waiting may take one part of so many of the memory: the process itself needs a third and more. */
+    private static final int BUFFERS_PART = 8;
     /** Clients are taken in after so long even where there is no backend to send to, as nobody else may be there. */
     private static final long READY_MS = 5_000;
     /** The folder, among what the process may write, where the exclusions stand. */
@@ -58,11 +60,12 @@
         loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         var settings = config.settings();
         var sockets = shared() ? Sockets.halfOf(config.sockets()) : new Sockets(config.sockets());
-        backends = new Backends(clock, loop, NioSocketChannel.class, sockets, config.connIdleUs(), config.connectTimeoutUs());
+        var buffers = new Buffers(config.memory() / (shared() ? 2 * BUFFERS_PART : BUFFERS_PART));
+        backends = new Backends(clock, loop, NioSocketChannel.class, sockets, buffers, config.connIdleUs(), config.connectTimeoutUs());
         proxy = new Proxy(clock, loop, log, settings, module, backends);
         discovery = new Discovery(loop, log, proxy, config.discovery(), settings);
         proxy.discovery(discovery);
-        frontend = new Frontend(clock, log, proxy, sockets, settings, this::available);
+        frontend = new Frontend(clock, log, proxy, sockets, buffers, settings, this::available);
         exclusions = new Exclusions(loop, log, proxy, surroundings.temp().resolve(EXCLUDED));
     }
 
--- a/src/main/java/beechfall/proxy/Warmup.java
+++ b/src/main/java/beechfall/proxy/Warmup.java
@@ -152,11 +152,12 @@
         var clock = new Clock();
         var log = new Log();
         var sockets = new Sockets(DESCRIPTORS);
+        var buffers = new Buffers(Long.MAX_VALUE);
         var unlisted = unlisted();
-        var backends = new Backends(clock, loop, NioDomainSocketChannel.class, sockets,
+        var backends = new Backends(clock, loop, NioDomainSocketChannel.class, sockets, buffers,
                 TimeUnit.MILLISECONDS.toMicros(MOST_MS), TimeUnit.MILLISECONDS.toMicros(MOST_MS));
         var proxy = new Proxy(clock, loop, log, unlisted, new Policy(unlisted), backends);
-        var frontend = new Frontend(clock, log, proxy, sockets, unlisted, backends::anyReady);
+        var frontend = new Frontend(clock, log, proxy, sockets, buffers, unlisted, backends::anyReady);
         loop.submit(() -> proxy.members(Balancer.ListKind.FULL, listed)).syncUninterruptibly();
         frontend.listen(loop, NioServerDomainSocketChannel.class, front).syncUninterruptibly();
         for (int i = 0; i < clients; i++) {
