Take the settings over whole at SIGHUP, or not at all, while open requests keep theirs

At fault: Serve.reconfigure took discovery's address alone, so requests of a new class were turned away as unknown, and a file short of a key that has a default passed as good.

Now one Config takes the other's place between two events; the module hears Retuned and keeps what it knows of servers, by the names of classes and tenants; requests keep the limits they came with. The operators' staff find in the log which classes hold, or which field is wrong.

--- a/src/main/java/beechfall/Balancer.java
+++ b/src/main/java/beechfall/Balancer.java
@@ -105,6 +105,7 @@
             require(limits != null, "limits");
             require(rules != null, "rules");
             classes = List.copyOf(classes);
+            require(classes.stream().map(RequestClass::name).distinct().count() == classes.size(), "two classes of a name");
             tenants = List.copyOf(tenants);
         }
     }
@@ -118,12 +119,15 @@
     }
 
     /** Something that happened to the proxy. */
-    sealed interface Event permits Members, Excluded, Included, Arrival, RequestSending,
+    sealed interface Event permits Members, Retuned, Excluded, Included, Arrival, RequestSending,
             RequestSent, StreamStarted, AttemptEnded, ClientGone, TimerFired, ProbeEnded { }
 
     /** News of the server list. A backend missing from a full list is gone. */
     record Members(ListKind kind, List<Backend> backends) implements Event { }
 
+    /** The settings are others from now on; a request that has arrived keeps those that it came with. */
+    record Retuned(Settings settings) implements Event { }
+
     /** The operators take a backend out: until {@link Included} it gets nothing new, whatever the list says. */
     record Excluded(String backend) implements Event { }
 
--- a/src/main/java/beechfall/Policy.java
+++ b/src/main/java/beechfall/Policy.java
@@ -11,7 +11,6 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.stream.Stream;
 
 /**
  * Decides where one proxy sends its requests. Settings, events and actions are in Balancer.java.
@@ -49,11 +48,14 @@
     /** A flow that keeps failing at a backend is put off for at most so many refreshes. */
     private static final int PAUSES = 8;
 
-    private final Settings settings;
-    private final Rules rules;
+    private Settings settings;
+    private Rules rules;
     private final Random random;
+    /** By name, dropped ones too: a request of theirs may have been on its way. */
     private final Map<String, RequestClass> classes = new HashMap<>();
     private final Map<String, Quota> quotas = new HashMap<>();
+    /** Flows by class and tenant, in the order in which they were first seen. */
+    private final Map<String, Integer> flows = new HashMap<>();
     private final Map<String, Long> leastLeft = new HashMap<>();
     private final Map<String, Kind> kinds = new HashMap<>();
     private final Kind all = new Kind();
@@ -63,8 +65,7 @@
     /** When the operators gave a backend back, until it is warm again. */
     private final Map<String, Long> includedAt = new HashMap<>();
     private final Map<String, Request> requests = new HashMap<>();
-    private final long refreshUs;
-    private final int flowsOfClass;
+    private long refreshUs;
     private long refreshAt = Long.MIN_VALUE;
     private double retryTokens = RETRY_BURST;
     private long askAt = Long.MIN_VALUE;
@@ -73,7 +74,7 @@
     private double outWork;
     private double meanCostUs;
     private int costs;
-    private final long crowdUs;
+    private long crowdUs;
     private final List<Request> held = new ArrayList<>();
     private double room;
     private double spare;
@@ -90,15 +91,22 @@
 
     /** Starts an instance that knows nothing but its settings. */
     public Policy(Settings settings) {
-        this.settings = settings;
-        this.rules = settings.rules();
         this.random = new Random(settings.seed());
-        settings.classes().forEach(c -> classes.put(c.name(), c));
-        settings.tenants().forEach(t -> quotas.put(t.name(), new Quota(t, settings, quotas.size())));
-        this.flowsOfClass = 1 + quotas.size();
-        var aims = settings.classes().stream().mapToLong(RequestClass::aimUs).summaryStatistics();
-        this.crowdUs = (long) (CROWD * aims.getMin());
-        this.refreshUs = 2 * aims.getMax();
+        tune(settings);
+    }
+
+    /** Takes settings over, the first or others. What was seen of servers and tenants still holds. */
+    private void tune(Settings next) {
+        settings = next;
+        rules = next.rules();
+        next.classes().forEach(c -> classes.put(c.name(), c));
+        quotas.keySet().retainAll(next.tenants().stream().map(Tenant::name).toList());
+        next.tenants().forEach(t -> quotas.put(t.name(), new Quota(t, next, quotas.get(t.name()))));
+        var aims = next.classes().stream().mapToLong(RequestClass::aimUs).summaryStatistics();
+        crowdUs = (long) (CROWD * aims.getMin());
+        refreshUs = 2 * aims.getMax();
+        // What first tries are left tells of the deadlines that were.
+        leastLeft.clear();
     }
 
     /** The answers of one kind of machine. */
@@ -138,14 +146,14 @@
 
     /** What a tenant may still send through this proxy as part of its share. */
     private static final class Quota {
-        private final int number;
         private final double perUs;
         private double left;
         private long at;
 
-        Quota(Tenant tenant, Settings settings, int number) {
-            this.number = number;
+        Quota(Tenant tenant, Settings settings, Quota before) {
             this.perUs = tenant.quotaPerS() / 1e6 / settings.balancers();
+            this.left = before == null ? 0 : before.left;
+            this.at = before == null ? 0 : before.at;
         }
     }
 
@@ -193,14 +201,20 @@
         private double ownSamples;
         private double coldTokens;
         private final Trust whole = new Trust();
-        private final Trust[] flows;
+        private final List<Trust> flows = new ArrayList<>();
         private boolean ready;
         private long startedAt;
         private long coldTokensAt;
 
-        Server(String id, int flows) {
+        Server(String id) {
             this.id = id;
-            this.flows = Stream.generate(Trust::new).limit(flows).toArray(Trust[]::new);
+        }
+
+        Trust flow(int number) {
+            while (flows.size() <= number) {
+                flows.add(new Trust());
+            }
+            return flows.get(number);
         }
     }
 
@@ -213,6 +227,7 @@
         private final double worth;
         private final double size;
         private final double costUs;
+        private final int maxAttempts;
         private long aimAt;
         private long deadline;
         private final List<Attempt> attempts = new ArrayList<>(2);
@@ -223,7 +238,7 @@
         private Server home;
 
         Request(String id, RequestClass type, int flow, String key, double worth, double size, double costUs, long began,
-                long deadline) {
+                long deadline, int maxAttempts) {
             this.id = id;
             this.type = type;
             this.flow = flow;
@@ -231,6 +246,7 @@
             this.worth = worth;
             this.size = size;
             this.costUs = costUs;
+            this.maxAttempts = maxAttempts;
             this.deadline = deadline;
             this.aimAt = type.lateWorth() > 0 ? deadline : Math.min(deadline, began + type.aimUs());
         }
@@ -286,6 +302,10 @@
             ask();
         } else if (event instanceof Members e) {
             members(e);
+        } else if (event instanceof Retuned e) {
+            tune(e.settings());
+            refresh();
+            ask();
         } else if (event instanceof Excluded e) {
             exclude(e.backend());
         } else if (event instanceof Included e && excluded.remove(e.backend())) {
@@ -320,7 +340,7 @@
         }
         var takenOut = new HashSet<Server>();
         for (Backend b : news) {
-            Server s = byId.computeIfAbsent(b.id(), id -> new Server(id, classes.size() * flowsOfClass));
+            Server s = byId.computeIfAbsent(b.id(), Server::new);
             if (s.listed == null || b.startedAtUs() != s.listed.startedAtUs()) {
                 s.ownUs = s.ownSamples = 0;
                 // Of hundreds of proxies each may send it less than one request: so some send theirs.
@@ -393,7 +413,7 @@
     /** Guards against backends hung, dead, slow or ill for some requests only, whatever the cause. */
     private boolean trusted(Server s, Request r) {
         long silenceUs = (long) Math.max(2 * crowdUs, s.kind.meanUs);
-        return s.whole.holds(now, silenceUs) && s.flows[r.flow].holds(now, silenceUs);
+        return s.whole.holds(now, silenceUs) && s.flow(r.flow).holds(now, silenceUs);
     }
 
     /** Returns the part of its capacity that a backend is sure to have: 1 once it is warm. */
@@ -453,15 +473,15 @@
         }
         retryTokens = Math.min(RETRY_BURST, retryTokens + RETRY_RATE);
         Quota quota = quotas.get(a.tenant());
-        int tenant = quota == null ? quotas.size() : quota.number;
-        int flow = settings.classes().indexOf(type) * flowsOfClass + tenant;
+        int flow = flows.computeIfAbsent(type.name() + '\n' + (quota == null ? "" : a.tenant()), name -> flows.size());
         double worth = overShare(quota, a.repeat()) ? settings.overShareWorth() : 1;
         // A repeat that is left less than first tries get began so long ago: past its aim, it ranks as late.
         long least = leastLeft.merge(type.name(), a.repeat() ? Long.MAX_VALUE : a.leftUs(), Math::min);
         long began = a.leftUs() < least ? now + a.leftUs() - type.deadlineUs() : now;
         worth *= type.worth() * (now < began + type.aimUs() ? 1 : type.lateWorth());
         String key = settings.warmKeys() ? a.key() : null;
-        var r = new Request(a.id(), type, flow, key, worth, size(a), a.costUs(), began, now + a.leftUs());
+        var r = new Request(a.id(), type, flow, key, worth, size(a), a.costUs(), began, now + a.leftUs(),
+                settings.limits().maxAttempts());
         requests.put(r.id, r);
         hold(r);
     }
@@ -639,7 +659,7 @@
     private void works(Attempt a) {
         a.working = true;
         a.server.whole.sent(now);
-        a.server.flows[a.request.flow].sent(now);
+        a.server.flow(a.request.flow).sent(now);
         a.server.outWork += a.request.size;
         outWork += a.request.size;
         outstanding++;
@@ -649,7 +669,7 @@
         if (a.working) {
             a.working = false;
             a.server.whole.ended(now, heard);
-            a.server.flows[a.request.flow].ended(now, heard);
+            a.server.flow(a.request.flow).ended(now, heard);
             a.server.outWork -= a.request.size;
             outWork -= a.request.size;
             outstanding--;
@@ -692,7 +712,7 @@
         if (outcome != Outcome.CANCELLED && outcome != Outcome.NOT_SENT) {
             boolean silent = outcome == Outcome.TIMEOUT && workUs(a.server, r) < a.timeoutUs / LATE / 2;
             a.server.whole.judge(outcome != Outcome.CONNECT_FAILED && !silent, now, refreshUs);
-            a.server.flows[r.flow].judge(ok, now, refreshUs);
+            a.server.flow(r.flow).judge(ok, now, refreshUs);
             learn(a.server, ok ? latencyUs : outcome == Outcome.ERROR ? r.type.aimUs() : a.timeoutUs);
         }
         if (ok) {
@@ -726,7 +746,7 @@
 
     private void retry(Request r) {
         // A request that no backend may be sent is over: held, it would only take up room.
-        if (now < r.aimAt && retryTokens >= 1 && r.attempts.size() < settings.limits().maxAttempts()
+        if (now < r.aimAt && retryTokens >= 1 && r.attempts.size() < r.maxAttempts
                 && servers.stream().anyMatch(s -> effectAllows(s, r))) {
             retryTokens -= 1;
             hold(r);
@@ -755,7 +775,8 @@
     private void hold(Request r) {
         // Sent at the last moment, it is to be answered in time: twice a crowd's time ahead.
         r.giveUpAt = Math.min(r.aimAt - 2 * crowdUs, r.deadline - 2 * settings.tickUs());
-        r.cheaper = 1.0 * classes.values().stream().filter(c -> c.worth() < r.worth).count() / classes.size();
+        r.cheaper = 1.0 * settings.classes().stream().filter(c -> c.worth() < r.worth).count()
+                / settings.classes().size();
         r.home = r.key == null ? null : home(r.key);
         int i = held.size();
         while (i > 0 && r.outranks(held.get(i - 1))) {
--- a/src/main/java/beechfall/proxy/Backends.java
+++ b/src/main/java/beechfall/proxy/Backends.java
@@ -91,7 +91,7 @@
     private final Sockets sockets;
     private final Buffers buffers;
     private final Bootstrap bootstrap;
-    private final long idleUs;
+    private long idleUs;
     private final Map<String, Target> targets = new HashMap<>();
     /** All that the list names, whatever it says of them. */
     private final Set<String> named = new HashSet<>();
@@ -103,12 +103,23 @@
         this.loop = loop;
         this.sockets = sockets;
         this.buffers = buffers;
-        // Well before the backend does: a request that crosses its close ends as a reset, and may have run.
-        this.idleUs = connIdleUs * 3 / 5;
         this.bootstrap = new Bootstrap().group(loop).channel(transport)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, Headers.readingLittle())
-                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, Headers.WATER_MARK)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutUs / 1_000));
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, Headers.WATER_MARK);
+        tune(connIdleUs, connectTimeoutUs);
+    }
+
+    /** Takes the times over that connections have, the first or others. What is idle now has been there by the old ones. */
+    void tune(long connIdleUs, long connectTimeoutUs) {
+        int connectMs = (int) Math.max(1, connectTimeoutUs / 1_000);
+        bootstrap.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMs);
+        targets.values().forEach(t -> t.pool.connectTimeout(connectMs));
+        // Well before the backend does: a request that crosses its close ends as a reset, and may have run.
+        long before = idleUs;
+        idleUs = connIdleUs * 3 / 5;
+        if (idleUs < before) {
+            targets.values().forEach(t -> t.pool.closeIdle());
+        }
     }
 
     /** Returns whether there is a backend to send to. */
@@ -240,6 +251,10 @@
             super(bootstrap, handler);
         }
 
+        void connectTimeout(int ms) {
+            bootstrap().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, ms);
+        }
+
         boolean hasIdle() {
             return !idle.isEmpty();
         }
--- a/src/main/java/beechfall/proxy/Config.java
+++ b/src/main/java/beechfall/proxy/Config.java
@@ -3,8 +3,10 @@
 import beechfall.Balancer;
 import beechfall.wire.SettingsReader;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
 import io.netty.util.NetUtil;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -13,7 +15,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * What a proxy is told at its start.
@@ -22,12 +26,15 @@
  * @param known the backends as this proxy last had them, in discovery's form; null where there are none
  * @param memory the bytes of memory that the process has
  * @param cores the part of a core that the process has
+ * @param keys the names of all that it tells, but for the lists of backends, classes and tenants
  * @param connIdleUs a backend closes a connection that has stood idle for so long
  */
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress operator,
-        int sockets, long memory, double cores, JsonNode known, Balancer.Settings settings, long connIdleUs, long connectTimeoutUs) {
+        int sockets, long memory, double cores, JsonNode known, Balancer.Settings settings, long connIdleUs, long connectTimeoutUs, Set<String> keys) {
 
-    static final ObjectMapper JSON = new ObjectMapper();
+    static final ObjectMapper JSON = JsonMapper.builder().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS).build();
+    /** What a proxy can do without: it is not missed where another configuration has it. */
+    private static final Set<String> OPTIONAL = Set.of("known", "operator", "extra");
 
     /** A configuration that no proxy can run with; the message is for the operators and names the field. */
     static final class BadConfig extends Exception {
@@ -61,12 +68,38 @@
                     json.path("known").isObject() ? json.path("known") : null,
                     SettingsReader.read(values, seed(json)),
                     SettingsReader.whole(values, "bounds.conn_idle_us"),
-                    SettingsReader.whole(values, "bounds.connect_timeout_us"));
+                    SettingsReader.whole(values, "bounds.connect_timeout_us"), Set.copyOf(keys("", json, new HashSet<>())));
         } catch (IllegalArgumentException e) {
             throw new BadConfig("'settings': " + e.getMessage());
         }
     }
 
+    /** Returns the paths of all objects' fields, those that a list holds left out. */
+    private static Set<String> keys(String path, JsonNode node, Set<String> into) {
+        node.properties().forEach(e -> {
+            if (!OPTIONAL.contains(e.getKey())) {
+                into.add(path + e.getKey());
+                keys(path + e.getKey() + ".", e.getValue(), into);
+            }
+        });
+        return into;
+    }
+
+    /**
+     * Reads the configuration that is to take this one's place.
+     *
+     * @throws BadConfig also where it lacks what this one has: it was cut short, and to go by the rest would be a guess
+     */
+    Config next(Path file) throws BadConfig {
+        Config next = read(file);
+        for (String key : keys) {
+            if (!next.keys.contains(key)) {
+                throw new BadConfig("'" + key + "': missing, though it was there before");
+            }
+        }
+        return next;
+    }
+
     /** Spells nested JSON out as paths, as the simulator's wire has them. */
     private static void flatten(String path, JsonNode node, Map<String, String> values) {
         if (node.isObject()) {
--- a/src/main/java/beechfall/proxy/Discovery.java
+++ b/src/main/java/beechfall/proxy/Discovery.java
@@ -58,8 +58,8 @@
     private final EventLoop loop;
     private final Log log;
     private final Proxy proxy;
-    private final boolean pushed;
-    private final long holdMs;
+    private boolean pushed;
+    private long holdMs;
     private final SplittableRandom random;
     private InetSocketAddress address;
     private boolean wanted;
@@ -73,9 +73,14 @@
         this.proxy = proxy;
         this.address = address;
         this.random = new SplittableRandom(settings.seed());
-        this.pushed = !settings.limits().listMustBeAsked();
+        tune(settings);
+    }
+
+    /** Takes settings over, the first or others. */
+    void tune(Balancer.Settings settings) {
+        pushed = !settings.limits().listMustBeAsked();
         // Twice the time within which a proxy has to ask: each empty answer is work for a service that all share.
-        this.holdMs = Math.min(MOST_HOLD_MS, 2 * settings.rules().askWithinUs() / 1_000);
+        holdMs = Math.min(MOST_HOLD_MS, 2 * settings.rules().askWithinUs() / 1_000);
     }
 
     /** Returns whether a first call has ended, or was waited for long enough, and the list is the best there is. */
--- a/src/main/java/beechfall/proxy/Frontend.java
+++ b/src/main/java/beechfall/proxy/Frontend.java
@@ -44,7 +44,6 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
@@ -55,6 +54,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Collectors;
 
 /** The clients' side: takes requests in, turns bad ones away, and gives each good one exactly one answer. */
 final class Frontend {
@@ -80,8 +80,7 @@
     private final Sockets sockets;
     private final Buffers buffers;
     private final BooleanSupplier ready;
-    private final Map<String, Balancer.Effect> effects = new HashMap<>();
-    private final Set<String> tenants = new HashSet<>();
+    private Terms terms;
     private final Set<Connection> connections = new HashSet<>();
     private Listener listener;
     private boolean draining;
@@ -98,8 +97,22 @@
         this.sockets = sockets;
         this.buffers = buffers;
         this.ready = ready;
-        settings.classes().forEach(c -> effects.put(c.name(), c.effect()));
-        settings.tenants().forEach(t -> tenants.add(t.name()));
+        this.terms = Terms.of(settings);
+    }
+
+    /** Which requests are taken in, and the limits that each keeps. */
+    private record Terms(Map<String, Balancer.Effect> effects, Set<String> tenants, Balancer.Limits limits) {
+        static Terms of(Balancer.Settings settings) {
+            return new Terms(settings.classes().stream().collect(
+                            Collectors.toUnmodifiableMap(Balancer.RequestClass::name, Balancer.RequestClass::effect)),
+                    settings.tenants().stream().map(Balancer.Tenant::name).collect(Collectors.toUnmodifiableSet()),
+                    settings.limits());
+        }
+    }
+
+    /** The settings are others from now on, for whoever begins to ask. */
+    void tune(Balancer.Settings settings) {
+        terms = Terms.of(settings);
     }
 
     ChannelFuture listen(EventLoop loop, Class<? extends ServerChannel> transport, SocketAddress address) {
@@ -450,6 +463,7 @@
     private final class Intake implements Passage.Source {
         private final Connection connection;
         private final HttpRequest head;
+        private final Terms came = terms;
         private ByteBuf body = Unpooled.EMPTY_BUFFER;
         /** Whether the client waits to be told to send the body. */
         private boolean announced;
@@ -477,7 +491,7 @@
                     && (body.readableBytes() + bytes.readableBytes() > Backends.MAX_BODY || buffers.full())) {
                 var passage = new Passage(body, this, buffers);
                 body = Unpooled.EMPTY_BUFFER;
-                passed = new Exchange(connection, head, body, passage);
+                passed = new Exchange(connection, head, came, body, passage);
                 connection.take(passed);
             }
             if (passed != null) {
@@ -488,7 +502,7 @@
             if (content instanceof LastHttpContent last && connection.intake == this) {
                 connection.whole();
                 if (passed == null) {
-                    connection.take(new Exchange(connection, head, body, null));
+                    connection.take(new Exchange(connection, head, came, body, null));
                 } else {
                     passed.whole(last.trailingHeaders());
                 }
@@ -567,6 +581,7 @@
     private final class Exchange implements Proxy.Reply, Passage.Sink {
         private final Connection connection;
         private final HttpRequest head;
+        private final Terms came;
         private final ByteBuf body;
         /** The body, where it is too long to be taken in whole; else null. */
         private final Passage passage;
@@ -579,9 +594,10 @@
         private boolean keepAlive;
         private boolean released;
 
-        Exchange(Connection connection, HttpRequest head, ByteBuf body, Passage passage) {
+        Exchange(Connection connection, HttpRequest head, Terms came, ByteBuf body, Passage passage) {
             this.connection = connection;
             this.head = head;
+            this.came = came;
             this.body = body;
             this.passage = passage;
             this.whole = passage == null;
@@ -630,7 +646,9 @@
             }
             HttpHeaders headers = head.headers();
             String requestClass = header(headers, Headers.REQUEST_CLASS);
-            Balancer.Effect effect = effects.get(requestClass);
+            // A class that was dropped while its request was on its way is served; one that was changed is as it is now.
+            Terms in = terms.effects().containsKey(requestClass) ? terms : came;
+            Balancer.Effect effect = in.effects().get(requestClass);
             if (effect == null) {
                 throw new Rejected(HttpResponseStatus.BAD_REQUEST, "unknown " + Headers.REQUEST_CLASS);
             }
@@ -642,9 +660,9 @@
                 header(headers, Headers.IDEMPOTENCY_KEY);
             }
             String tenant = null;
-            if (!tenants.isEmpty()) {
+            if (!in.tenants().isEmpty()) {
                 tenant = header(headers, Headers.TENANT);
-                if (!tenants.contains(tenant)) {
+                if (!in.tenants().contains(tenant)) {
                     throw new Rejected(HttpResponseStatus.BAD_REQUEST, "unknown " + Headers.TENANT);
                 }
             }
@@ -655,7 +673,7 @@
             List<String> keys = uri.parameters().get("k");
             patienceUs = patienceUs(header(headers, Headers.TIMEOUT));
             return new Proxy.Incoming(requestId, requestClass, tenant, keys == null ? null : keys.get(0),
-                    "1".equals(headers.get(Headers.RETRIED)), costUs(headers.get(Headers.COST)), deadline(), whole,
+                    "1".equals(headers.get(Headers.RETRIED)), costUs(headers.get(Headers.COST)), deadline(), whole, in.limits(),
                     new Backends.Outgoing(head.method(), target, headers, body, passage));
         }
 
--- a/src/main/java/beechfall/proxy/Proxy.java
+++ b/src/main/java/beechfall/proxy/Proxy.java
@@ -35,10 +35,10 @@
     /**
      * A client's request. {@code deadlineUs} is on the proxy's clock: the last moment at which an answer can leave and
      * still be there before the client gives up; where the request has not come {@code whole} yet, the time from there
-     * on is not running.
+     * on is not running. {@code limits} are those under which it came.
      */
     record Incoming(String id, String requestClass, String tenant, String key, boolean repeat, long costUs,
-            long deadlineUs, boolean whole, Backends.Outgoing outgoing) { }
+            long deadlineUs, boolean whole, Balancer.Limits limits, Backends.Outgoing outgoing) { }
 
     /** A request and its attempts, kept until it is answered and no attempt is out. */
     private static final class Request {
@@ -73,7 +73,6 @@
     private final Clock clock;
     private final EventLoop loop;
     private final Log log;
-    private final Balancer.Limits limits;
     private final Balancer module;
     private final Backends backends;
     private final Map<String, Request> requests = new HashMap<>();
@@ -82,11 +81,10 @@
     private Discovery discovery;
     private boolean handling;
 
-    Proxy(Clock clock, EventLoop loop, Log log, Balancer.Settings settings, Balancer module, Backends backends) {
+    Proxy(Clock clock, EventLoop loop, Log log, Balancer module, Backends backends) {
         this.clock = clock;
         this.loop = loop;
         this.log = log;
-        this.limits = settings.limits();
         this.module = module;
         this.backends = backends;
     }
@@ -162,6 +160,11 @@
         unsent.forEach(a -> a.abort(Outcome.NOT_SENT));
     }
 
+    /** The settings are others from now on. */
+    void retuned(Balancer.Settings settings) {
+        deliver(new Balancer.Retuned(settings));
+    }
+
     /** Returns whether the operators may speak of a backend by this id. */
     boolean knowsBackend(String id) {
         return backends.knows(id);
@@ -306,7 +309,7 @@
         } else if (action instanceof Balancer.Cancel a) {
             Request r = requests.get(a.id());
             Backends.Attempt attempt = r == null || a.attempt() >= r.attempts.size() ? null : r.attempts.get(a.attempt());
-            if (attempt != null && limits.cancel()) {
+            if (attempt != null && r.incoming.limits().cancel()) {
                 attempt.abort(Outcome.CANCELLED);
             }
         } else if (action instanceof Balancer.Release a) {
@@ -340,7 +343,7 @@
         long left = r.leftUs(clock.now());
         long timeoutUs = send.timeoutUs() == 0 ? left : Math.min(send.timeoutUs(), left);
         Backends.Attempt attempt = null;
-        if (!r.over && number < limits.maxAttempts() && timeoutUs > 0 && (r.out == 0 || limits.secondCopies())) {
+        if (!r.over && number < r.incoming.limits().maxAttempts() && timeoutUs > 0 && (r.out == 0 || r.incoming.limits().secondCopies())) {
             attempt = backends.attempt(send.backend(), r.incoming.outgoing(), timeoutUs,
                     new Course(r, number, send.backend()));
         }
--- a/src/main/java/beechfall/proxy/Serve.java
+++ b/src/main/java/beechfall/proxy/Serve.java
@@ -36,7 +36,7 @@
     /** The folder, among what the process may write, where the exclusions stand. */
     private static final String EXCLUDED = "excluded";
 
-    private final Config config;
+    private volatile Config config;
     private final Surroundings surroundings;
     private final Log log;
     private final Clock clock = new Clock();
@@ -62,7 +62,7 @@
         var sockets = shared() ? Sockets.halfOf(config.sockets()) : new Sockets(config.sockets());
         var buffers = new Buffers(config.memory() / (shared() ? 2 * BUFFERS_PART : BUFFERS_PART));
         backends = new Backends(clock, loop, NioSocketChannel.class, sockets, buffers, config.connIdleUs(), config.connectTimeoutUs());
-        proxy = new Proxy(clock, loop, log, settings, module, backends);
+        proxy = new Proxy(clock, loop, log, module, backends);
         discovery = new Discovery(loop, log, proxy, config.discovery(), settings);
         proxy.discovery(discovery);
         frontend = new Frontend(clock, log, proxy, sockets, buffers, settings, this::available);
@@ -192,13 +192,19 @@
         return (InetSocketAddress) bound.channel().localAddress();
     }
 
-    /** Takes over what may change while the proxy runs: where discovery is. A file that is no good changes nothing. */
+    /** Takes over what may change while the proxy runs: the settings, and where discovery is. A bad file changes nothing. */
     void reconfigure(Path file) {
         loop.execute(() -> {
             try {
-                InetSocketAddress place = Config.read(file).discovery();
-                log.line(config.name() + ": told of discovery at " + place);
-                discovery.moveTo(place);
+                Config next = config.next(file);
+                config = next;
+                frontend.tune(next.settings());
+                backends.tune(next.connIdleUs(), next.connectTimeoutUs());
+                discovery.tune(next.settings());
+                proxy.retuned(next.settings());
+                discovery.moveTo(next.discovery());
+                log.line(next.name() + ": took over the configuration; discovery at " + next.discovery() + ", classes "
+                        + next.settings().classes().stream().map(Balancer.RequestClass::name).toList());
             } catch (Config.BadConfig e) {
                 log.line(config.name() + ": bad configuration, the old one stays: " + e.getMessage());
             }
--- a/src/main/java/beechfall/proxy/Warmup.java
+++ b/src/main/java/beechfall/proxy/Warmup.java
@@ -156,7 +156,7 @@
         var unlisted = unlisted();
         var backends = new Backends(clock, loop, NioDomainSocketChannel.class, sockets, buffers,
                 TimeUnit.MILLISECONDS.toMicros(MOST_MS), TimeUnit.MILLISECONDS.toMicros(MOST_MS));
-        var proxy = new Proxy(clock, loop, log, unlisted, new Policy(unlisted), backends);
+        var proxy = new Proxy(clock, loop, log, new Policy(unlisted), backends);
         var frontend = new Frontend(clock, log, proxy, sockets, buffers, unlisted, backends::anyReady);
         loop.submit(() -> proxy.members(Balancer.ListKind.FULL, listed)).syncUninterruptibly();
         frontend.listen(loop, NioServerDomainSocketChannel.class, front).syncUninterruptibly();
--- a/src/test/java/beechfall/proxy/DiscoveryTest.java
+++ b/src/test/java/beechfall/proxy/DiscoveryTest.java
@@ -46,7 +46,7 @@
         var config = Config.parse(Fixture.config());
         var backends = new Backends(clock, channel.eventLoop(), EmbeddedChannel.class, new Sockets(256), new Buffers(Long.MAX_VALUE), 1, 1);
         var log = new Log();
-        var proxy = new Proxy(clock, channel.eventLoop(), log, config.settings(), (now, event, actions) -> { }, backends);
+        var proxy = new Proxy(clock, channel.eventLoop(), log, (now, event, actions) -> { }, backends);
         var discovery = new Discovery(channel.eventLoop(), log, proxy, config.discovery(), config.settings());
         discovery.known(config.known());
         channel.advanceTimeBy(Discovery.FIRST_ANSWER_MS - 1, TimeUnit.MILLISECONDS);
