--- a/src/main/java/beechfall/proxy/Warmup.java
+++ b/src/main/java/beechfall/proxy/Warmup.java
@@ -44,8 +44,11 @@
  * code of sockets runs as well, which over channels inside the process it would not.
  */
 final class Warmup {
-    /** A method is compiled once it has run 200 times, and some run for a part of the requests only. */
-    static final int REQUESTS = 250;
+    /**
+     * The first 80 take half of what 250 take of the CPU, as most of it goes into loading and linking and not into compiling;
+     * what is left is thin enough for the clients to bear.
+     */
+    static final int REQUESTS = 80;
     /** Ready late is better than ready cold, but not by much. */
     static final long MOST_MS = 6_000;
     /** Where the first answer takes longer than this, nobody is led to sockets in the file system. */
