Decode bodies in the pieces they are read in, and let no stray file hide an exclusion

Read in review: a name in the folder of exclusions that is no Base64 made every look at it fail; it is passed over now (OperatorDoorTest). A request given up while its body came left its timer running. The two sinks of a body shared their lines; Passage.Sink has them once.

--- a/src/main/java/beechfall/proxy/Backends.java
+++ b/src/main/java/beechfall/proxy/Backends.java
@@ -15,7 +15,6 @@
 import io.netty.channel.pool.ChannelPoolHandler;
 import io.netty.channel.pool.SimpleChannelPool;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -402,18 +401,8 @@
         }
 
         @Override
-        public boolean ready() {
-            return channel.isWritable();
-        }
-
-        @Override
-        public void data(ByteBuf data) {
-            channel.write(new DefaultHttpContent(data));
-        }
-
-        @Override
-        public void flush() {
-            channel.flush();
+        public Channel channel() {
+            return channel;
         }
 
         @Override
@@ -427,7 +416,7 @@
             abort(Outcome.NOT_SENT);
         }
 
-        /** The connection takes more, or an idle one has had neither a byte read nor one written for long. */
+        /** The connection takes more. */
         private void flow() {
             if (sending) {
                 outgoing.passage().flow();
@@ -477,6 +466,10 @@
 
     /** Netty's decoder; only requests that an answer may have a body for are ever sent, so it need not know them. */
     private static final class Decoder extends HttpResponseDecoder {
+        Decoder() {
+            super(Headers.DECODING);
+        }
+
         /** Netty takes a line like {@code no colon here} for a header named {@code no}; here it makes no answer. */
         @Override
         protected AsciiString splitHeaderName(byte[] line, int start, int length) {
--- a/src/main/java/beechfall/proxy/Exclusions.java
+++ b/src/main/java/beechfall/proxy/Exclusions.java
@@ -3,11 +3,13 @@
 import io.netty.channel.EventLoop;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.DirectoryIteratorException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Base64;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -112,8 +114,10 @@
         var ids = new HashSet<String>();
         if (Files.exists(folder)) {
             try (var files = Files.newDirectoryStream(folder)) {
-                files.forEach(f -> ids.add(id(f.getFileName().toString())));
-            } catch (IOException | RuntimeException e) {
+                for (Path file : files) {
+                    id(file.getFileName().toString()).ifPresent(ids::add);
+                }
+            } catch (IOException | DirectoryIteratorException e) {
                 if (readable) {
                     log.line("operators: the exclusions can't be read, those told before hold: " + e);
                 }
@@ -129,7 +133,12 @@
         return Base64.getUrlEncoder().withoutPadding().encodeToString(id.getBytes(StandardCharsets.UTF_8));
     }
 
-    private static String id(String name) {
-        return new String(Base64.getUrlDecoder().decode(name), StandardCharsets.UTF_8);
+    /** Whatever else lies there says nothing, and must not hide what does. */
+    private static Optional<String> id(String name) {
+        try {
+            return Optional.of(new String(Base64.getUrlDecoder().decode(name), StandardCharsets.UTF_8));
+        } catch (IllegalArgumentException e) {
+            return Optional.empty();
+        }
     }
 }
--- a/src/main/java/beechfall/proxy/Frontend.java
+++ b/src/main/java/beechfall/proxy/Frontend.java
@@ -18,7 +18,6 @@
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -361,6 +360,7 @@
             }
             Intake gone = intake;
             intake = null;
+            stopExpecting();
             if (gone.passed == null) {
                 gone.release();
             } else if (gone.passed == exchange) {
@@ -527,6 +527,10 @@
 
     /** Netty's decoder, where it would let pass what has no meaning, or two. */
     private static final class RequestDecoder extends HttpRequestDecoder {
+        RequestDecoder() {
+            super(Headers.DECODING);
+        }
+
         @Override
         protected AsciiString splitHeaderName(byte[] line, int start, int length) {
             Headers.requireColon(line, start + length);
@@ -781,18 +785,8 @@
         }
 
         @Override
-        public boolean ready() {
-            return connection.channel.isWritable();
-        }
-
-        @Override
-        public void data(ByteBuf data) {
-            connection.channel.write(new DefaultHttpContent(data));
-        }
-
-        @Override
-        public void flush() {
-            connection.channel.flush();
+        public Channel channel() {
+            return connection.channel;
         }
 
         @Override
--- a/src/main/java/beechfall/proxy/Headers.java
+++ b/src/main/java/beechfall/proxy/Headers.java
@@ -7,6 +7,7 @@
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -33,6 +34,8 @@
     /** What one connection may have waiting to be written before it counts as busy. */
     static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(16 * 1024, 32 * 1024);
     private static final int READ_AT_ONCE = 16 * 1024;
+    /** Bodies are passed on in the pieces in which they are read. */
+    static final HttpDecoderConfig DECODING = new HttpDecoderConfig().setMaxChunkSize(READ_AT_ONCE);
 
     private Headers() { }
 
--- a/src/main/java/beechfall/proxy/Passage.java
+++ b/src/main/java/beechfall/proxy/Passage.java
@@ -1,6 +1,8 @@
 package beechfall.proxy;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.ArrayDeque;
@@ -22,13 +24,22 @@
 
     /** Where a body goes. It is told of exactly one end, unless it goes first. */
     interface Sink {
+        /** The connection that it is written to. */
+        Channel channel();
+
         /** Returns whether it can take more; when it can again, it calls {@link Passage#flow}. */
-        boolean ready();
+        default boolean ready() {
+            return channel().isWritable();
+        }
 
         /** Takes bytes, which are now its to release. */
-        void data(ByteBuf data);
+        default void data(ByteBuf data) {
+            channel().write(new DefaultHttpContent(data));
+        }
 
-        void flush();
+        default void flush() {
+            channel().flush();
+        }
 
         /** The body is whole. */
         void end(HttpHeaders trailers);
--- a/src/test/java/beechfall/proxy/OperatorDoorTest.java
+++ b/src/test/java/beechfall/proxy/OperatorDoorTest.java
@@ -112,6 +112,7 @@
     void aCallToOneProcessBindsTheOther() throws Exception {
         try (var backend = new Peer(); var old = Fixture.operated((event, actions) -> { }, temp, backend)) {
             assertThat(old.call("exclude s0\n")).startsWith("SUCCESS");
+            Files.createFile(temp.resolve("excluded").resolve("left by someone~"));
             try (var proxy = Fixture.operated((event, actions) -> { }, temp, backend)) {
                 assertThat(proxy.next(Excluded.class)).isEqualTo(new Excluded("s0"));
                 assertThat(proxy.call("include s0\n")).startsWith("SUCCESS");
--- a/src/test/java/beechfall/proxy/PassageTest.java
+++ b/src/test/java/beechfall/proxy/PassageTest.java
@@ -4,6 +4,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.ArrayList;
@@ -40,6 +41,12 @@
         private int ends;
         private int breaks;
 
+        /** There is none: what would be asked of it is answered here. */
+        @Override
+        public Channel channel() {
+            throw new AssertionError("no connection is wanted");
+        }
+
         @Override
         public boolean ready() {
             return room > 0;
