Make the warm-up as long as the expected traffic exceeds what cold code takes in

Ruled out: the parts themselves, as only those 5 s differ; memory, descriptors.

At fault: one number for all. Test: WarmupTest.

--- a/src/main/java/beechfall/proxy/Serve.java
+++ b/src/main/java/beechfall/proxy/Serve.java
@@ -80,8 +80,9 @@
             Config config = Config.read(file);
             Serve serve = new Serve(config, Surroundings.of(System.getenv(), config));
             serve.begin();
-            if (Warmup.needed(config.settings(), config.cores())) {
-                serve.warmUp();
+            int requests = Warmup.requests(config.settings(), config.cores());
+            if (requests > 0) {
+                serve.warmUp(requests);
             }
             Signals.handle("HUP", () -> serve.reconfigure(file));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
@@ -101,7 +102,7 @@
             Config config = Config.read(file());
             Serve serve = new Serve(config, Surroundings.of(System.getenv(), config));
             serve.begin();
-            serve.warmUp();
+            serve.warmUp(Warmup.MOST_REQUESTS);
             serve.listen();
             serve.stop();
         } catch (Config.BadConfig e) {
@@ -117,8 +118,9 @@
         return Path.of(file);
     }
 
-    private void warmUp() {
-        int served = Warmup.run(config.settings(), surroundings.temp(), Warmup.CLIENTS, Warmup.FIRST_MS, Warmup.MOST_MS);
+    private void warmUp(int requests) {
+        int served = Warmup.run(config.settings(), requests, surroundings.temp(), Warmup.CLIENTS, Warmup.FIRST_MS,
+                Warmup.MOST_MS);
         loop.execute(() -> log.line("warmed up with " + served + " made-up requests"));
     }
 
--- a/src/main/java/beechfall/proxy/Warmup.java
+++ b/src/main/java/beechfall/proxy/Warmup.java
@@ -44,11 +44,11 @@
  * code of sockets runs as well, which over channels inside the process it would not.
  */
 final class Warmup {
-    /**
-     * The first 80 take half of what 250 take of the CPU, as most of it goes into loading and linking and not into compiling;
-     * what is left is thin enough for the clients to bear.
-     */
-    static final int REQUESTS = 80;
+    /** The first few take the most, as they load and link; a method is compiled once it has run 200 times. */
+    static final int LEAST_REQUESTS = 40;
+    static final int MOST_REQUESTS = 250;
+    /** So many times what cold code takes in calls for the most. */
+    private static final double MOST_LOAD = 3;
     /** Ready late is better than ready cold, but not by much. */
     static final long MOST_MS = 6_000;
     /** Where the first answer takes longer than this, nobody is led to sockets in the file system. */
@@ -64,6 +64,7 @@
     private static final int BODY = 1_024;
 
     private final Balancer.Settings settings;
+    private final int requests;
     private final SocketAddress front;
     private final EventLoop loop;
     private final Promise<Void> done;
@@ -71,37 +72,41 @@
     private int answered;
     private int asked;
 
-    private Warmup(Balancer.Settings settings, SocketAddress front, EventLoop loop) {
+    private Warmup(Balancer.Settings settings, int requests, SocketAddress front, EventLoop loop) {
         this.settings = settings;
+        this.requests = requests;
         this.front = front;
         this.loop = loop;
         this.done = loop.newPromise();
     }
 
     /**
-     * Returns whether a proxy could fall behind its clients while its code is cold. One of many, whose part of the
-     * traffic is thin, could not: to it the warm-up is only time in which it is missing, with all the others that
-     * start together with it.
+     * Returns how many made-up requests a proxy should serve before its clients': the more, the further the traffic is
+     * beyond what it takes in while its code is cold. One of many, whose part of the traffic is thin, needs none: to it
+     * the warm-up is only time in which it is missing, with all the others that start together with it.
      */
-    static boolean needed(Balancer.Settings settings, double cores) {
+    static int requests(Balancer.Settings settings, double cores) {
         double perS = settings.tenants().stream().mapToDouble(Balancer.Tenant::quotaPerS).sum() / settings.balancers();
-        return settings.tenants().isEmpty() || perS * COLD_US > cores * TimeUnit.SECONDS.toMicros(1);
+        double load = settings.tenants().isEmpty() ? MOST_LOAD : perS * COLD_US / (cores * TimeUnit.SECONDS.toMicros(1));
+        double part = Math.min(1, (load - 1) / (MOST_LOAD - 1));
+        return load <= 1 ? 0 : (int) (LEAST_REQUESTS + part * (MOST_REQUESTS - LEAST_REQUESTS));
     }
 
     /**
      * Returns how many made-up requests were answered; what goes wrong costs the warm-up alone, not the proxy.
      *
      * @param temp a folder that may be written
+     * @param requests it ends once so many were answered
      * @param clients so many ask
      * @param firstMs it ends after this time if none was answered
      * @param mostMs it ends after this time, however few they are
      */
-    static int run(Balancer.Settings settings, Path temp, int clients, long firstMs, long mostMs) {
+    static int run(Balancer.Settings settings, int requests, Path temp, int clients, long firstMs, long mostMs) {
         var group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         Path dir = null;
         try {
             dir = Files.createTempDirectory(temp, "warmup");
-            var warmup = new Warmup(settings, UnixDomainSocketAddress.of(dir.resolve("front")), group.next());
+            var warmup = new Warmup(settings, requests, UnixDomainSocketAddress.of(dir.resolve("front")), group.next());
             warmup.start(dir, clients);
             if (!warmup.done.await(firstMs) && warmup.soFar() > 0) {
                 warmup.done.await(mostMs - firstMs);
@@ -223,7 +228,7 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
-            if (++answered == REQUESTS) {
+            if (++answered == requests) {
                 done.setSuccess(null);
             }
             if (--left > 0 && !done.isDone()) {
--- a/src/test/java/beechfall/proxy/WarmupTest.java
+++ b/src/test/java/beechfall/proxy/WarmupTest.java
@@ -14,10 +14,10 @@
 /** The code that the first clients meet has run before, and nothing of that is left. */
 class WarmupTest {
     @Test
-    void servesAsManyMadeUpRequestsAsItTakesToCompileTheirCode(@TempDir Path dir) throws Exception {
+    void servesAsManyMadeUpRequestsAsItIsTold(@TempDir Path dir) throws Exception {
         var settings = Config.parse(Fixture.config()).settings();
         long longMs = TimeUnit.MINUTES.toMillis(5);
-        assertThat(Warmup.run(settings, dir, Warmup.CLIENTS, longMs, longMs)).isGreaterThanOrEqualTo(Warmup.REQUESTS);
+        assertThat(Warmup.run(settings, 50, dir, Warmup.CLIENTS, longMs, longMs)).isBetween(50, 50 + Warmup.CLIENTS);
     }
 
     /** Some hosts lead nobody to a socket in the file system: that costs the wait for the first answer, not for all. */
@@ -25,14 +25,16 @@
     @Timeout(60)
     void endsWhereNothingIsAnsweredInTime(@TempDir Path dir) throws Exception {
         var settings = Config.parse(Fixture.config()).settings();
-        assertThat(Warmup.run(settings, dir, 0, 1, TimeUnit.MINUTES.toMillis(5))).isZero();
+        assertThat(Warmup.run(settings, 50, dir, 0, 1, TimeUnit.MINUTES.toMillis(5))).isZero();
     }
 
-    /** 20 requests a second for each of two proxies, then 4,000: a tenth of a core takes in 25 while it is cold. */
+    /** A tenth of a core takes in 25 requests a second while its code is cold; there are two proxies. */
     @Test
-    void isLeftOutWhereColdCodeKeepsUpWithTheTraffic() throws Exception {
-        assertThat(Warmup.needed(Config.parse(config(40)).settings(), 0.1)).isFalse();
-        assertThat(Warmup.needed(Config.parse(config(8_000)).settings(), 0.1)).isTrue();
+    void isTheLongerTheFurtherTheTrafficIsBeyondWhatColdCodeTakesIn() throws Exception {
+        assertThat(Warmup.requests(Config.parse(config(40)).settings(), 0.1)).isZero();
+        assertThat(Warmup.requests(Config.parse(config(51)).settings(), 0.1)).isBetween(40, 45);
+        assertThat(Warmup.requests(Config.parse(config(100)).settings(), 0.1)).isBetween(140, 150);
+        assertThat(Warmup.requests(Config.parse(config(8_000)).settings(), 0.1)).isEqualTo(Warmup.MOST_REQUESTS);
     }
 
     @Test
