Accept clients ahead of a busy loop at an inherited socket, up to 16 and not one a turn

So the loop of the new process was swamped for some 6 s.

At fault, as far as is known: InheritedListener took one client a turn of the loop, so that a busy loop's queue fills with clients who have given up. Test: UpgradeTest.clientsAreAcceptedAheadOfABusyLoop.

--- a/src/main/java/beechfall/proxy/InheritedListener.java
+++ b/src/main/java/beechfall/proxy/InheritedListener.java
@@ -5,8 +5,8 @@
 import java.nio.channels.ClosedChannelException;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -18,18 +18,24 @@
 final class InheritedListener implements Listener {
     /** After a failure, such as a descriptor too many, the next try waits so long. */
     private static final long AFTER_FAILURE_MS = 20;
+    /**
+     * So many may be accepted and not yet known to the loop. With one, a busy loop would take in one client a turn, and
+     * the queue of the others fill with such as have given up; many would escape the count of open descriptors.
+     */
+    static final int AHEAD = 16;
 
     private final ServerSocketChannel socket;
     private final EventLoop loop;
     private final Log log;
     private final Consumer<SocketChannel> admit;
     private final Runnable ended;
+    private final Semaphore ahead = new Semaphore(AHEAD);
     private boolean open = true;
 
     /**
      * Makes one that takes nobody in yet.
      *
-     * @param admit gets each connection, on the loop, before the next is accepted
+     * @param admit gets each connection, on the loop
      * @param ended is run on the loop after it was closed, once all that was accepted by then has been admitted
      */
     InheritedListener(ServerSocketChannel socket, EventLoop loop, Log log, Consumer<SocketChannel> admit, Runnable ended) {
@@ -76,12 +82,17 @@
 
     private void next() throws InterruptedException {
         try {
+            ahead.acquire();
             untilOpen();
             SocketChannel accepted = socket.accept();
-            loop.submit(() -> admit.accept(accepted)).get();
+            loop.execute(() -> {
+                ahead.release();
+                admit.accept(accepted);
+            });
         } catch (ClosedChannelException e) {
             // Nobody else is wanted.
-        } catch (IOException | ExecutionException e) {
+        } catch (IOException e) {
+            ahead.release();
             loop.execute(() -> log.failure("a client was not accepted", e));
             TimeUnit.MILLISECONDS.sleep(AFTER_FAILURE_MS);
         }
--- a/src/test/java/beechfall/proxy/UpgradeTest.java
+++ b/src/test/java/beechfall/proxy/UpgradeTest.java
@@ -8,13 +8,16 @@
 import beechfall.Balancer.Send;
 import beechfall.Balancer.Watch;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.DefaultEventLoop;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
 /** Clients that come over a listening socket which this process shares with the one before it and the one after it. */
@@ -80,6 +83,41 @@
         }
     }
 
+    /** A loop that is busy gets all that wait when it comes to it, not one a turn: they would give up in the queue. */
+    @Test
+    @Timeout(5)
+    void clientsAreAcceptedAheadOfABusyLoop() throws Exception {
+        var loop = new DefaultEventLoop();
+        var goOn = new CountDownLatch(1);
+        var admitted = new CountDownLatch(InheritedListener.AHEAD);
+        var ended = new CountDownLatch(1);
+        try (var socket = listening()) {
+            var listener = new InheritedListener(socket, loop, new Log(), client -> admitted.countDown(), ended::countDown);
+            loop.execute(() -> {
+                try {
+                    goOn.await();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+            listener.start();
+            for (int i = 0; i < InheritedListener.AHEAD; i++) {
+                Wire.to((InetSocketAddress) socket.getLocalAddress());
+            }
+            while (loop.pendingTasks() < InheritedListener.AHEAD && !Thread.currentThread().isInterrupted()) {
+                Thread.onSpinWait();
+            }
+            assertThat(loop.pendingTasks()).isEqualTo(InheritedListener.AHEAD);
+            goOn.countDown();
+            admitted.await();
+            listener.close();
+            ended.await();
+        } finally {
+            goOn.countDown();
+            loop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+        }
+    }
+
     /** The whole of it: two processes on one socket; the old one ends, and clients, old and new, are served throughout. */
     @Test
     void theNextProcessServesOnOverTheSameSocket(@TempDir Path dir) throws Exception {
