--- a/src/main/java/beechfall/Main.java
+++ b/app/src/main/java/walkpost/app/Main.java
@@ -1,6 +1,6 @@
-package beechfall;
+package walkpost.app;
 
-import beechfall.proxy.Serve;
+import walkpost.proxy.Serve;
 import java.io.IOException;
 
 /**
@@ -21,9 +21,9 @@
         switch (command) {
             case "serve" -> Serve.main(args);
             case "rehearse" -> Serve.rehearse();
-            case "drill" -> beechfall.wire.Main.main(args);
+            case "drill" -> walkpost.wire.Main.main(args);
             default -> {
-                System.err.println("usage: java -jar beechfall.jar serve|drill|rehearse");
+                System.err.println("usage: java -jar walkpost.jar serve|drill|rehearse");
                 System.exit(2);
             }
         }
--- a/src/main/java/beechfall/Balancer.java
+++ b/proxy/src/main/java/walkpost/Balancer.java
@@ -1,4 +1,4 @@
-package beechfall;
+package walkpost;
 
 import java.util.List;
 import java.util.function.Consumer;
--- a/src/main/java/beechfall/Policy.java
+++ b/proxy/src/main/java/walkpost/Policy.java
@@ -1,4 +1,4 @@
-package beechfall;
+package walkpost;
 
 import java.util.ArrayList;
 import java.util.Collections;
--- a/src/main/java/beechfall/proxy/Backends.java
+++ b/proxy/src/main/java/walkpost/proxy/Backends.java
@@ -1,7 +1,7 @@
-package beechfall.proxy;
+package walkpost.proxy;
 
-import beechfall.Balancer.Outcome;
-import beechfall.Balancer;
+import walkpost.Balancer.Outcome;
+import walkpost.Balancer;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
--- a/src/main/java/beechfall/proxy/Buffers.java
+++ b/proxy/src/main/java/walkpost/proxy/Buffers.java
@@ -1,4 +1,4 @@
-package beechfall.proxy;
+package walkpost.proxy;
 
 /** Counts the bytes of bodies that the process holds, over all connections: its memory is one and limited. */
 final class Buffers {
--- a/src/main/java/beechfall/proxy/Clock.java
+++ b/proxy/src/main/java/walkpost/proxy/Clock.java
@@ -1,4 +1,4 @@
-package beechfall.proxy;
+package walkpost.proxy;
 
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
--- a/src/main/java/beechfall/proxy/Config.java
+++ b/proxy/src/main/java/walkpost/proxy/Config.java
@@ -1,7 +1,7 @@
-package beechfall.proxy;
+package walkpost.proxy;
 
-import beechfall.Balancer;
-import beechfall.wire.SettingsReader;
+import walkpost.Balancer;
+import walkpost.wire.SettingsReader;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
--- a/src/main/java/beechfall/proxy/Discovery.java
+++ b/proxy/src/main/java/walkpost/proxy/Discovery.java
@@ -1,7 +1,7 @@
-package beechfall.proxy;
+package walkpost.proxy;
 
-import beechfall.Balancer;
-import beechfall.Balancer.ListKind;
+import walkpost.Balancer;
+import walkpost.Balancer.ListKind;
 import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufInputStream;
--- a/src/main/java/beechfall/proxy/Framing.java
+++ b/proxy/src/main/java/walkpost/proxy/Framing.java
@@ -1,4 +1,4 @@
-package beechfall.proxy;
+package walkpost.proxy;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
--- a/src/main/java/beechfall/proxy/Frontend.java
+++ b/proxy/src/main/java/walkpost/proxy/Frontend.java
@@ -1,6 +1,6 @@
-package beechfall.proxy;
+package walkpost.proxy;
 
-import beechfall.Balancer;
+import walkpost.Balancer;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
--- a/src/main/java/beechfall/proxy/InheritedListener.java
+++ b/proxy/src/main/java/walkpost/proxy/InheritedListener.java
@@ -1,4 +1,4 @@
-package beechfall.proxy;
+package walkpost.proxy;
 
 import io.netty.channel.EventLoop;
 import java.io.IOException;
--- a/src/main/java/beechfall/proxy/Listener.java
+++ b/proxy/src/main/java/walkpost/proxy/Listener.java
@@ -1,4 +1,4 @@
-package beechfall.proxy;
+package walkpost.proxy;
 
 /** Where clients come in. */
 interface Listener {
--- a/src/main/java/beechfall/proxy/OperatorDoor.java
+++ b/proxy/src/main/java/walkpost/proxy/OperatorDoor.java
@@ -1,4 +1,4 @@
-package beechfall.proxy;
+package walkpost.proxy;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
--- a/src/main/java/beechfall/proxy/Proxy.java
+++ b/proxy/src/main/java/walkpost/proxy/Proxy.java
@@ -1,9 +1,9 @@
-package beechfall.proxy;
+package walkpost.proxy;
 
-import beechfall.Balancer;
-import beechfall.Balancer.Action;
-import beechfall.Balancer.Event;
-import beechfall.Balancer.Outcome;
+import walkpost.Balancer;
+import walkpost.Balancer.Action;
+import walkpost.Balancer.Event;
+import walkpost.Balancer.Outcome;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
 import java.util.ArrayDeque;
--- a/src/main/java/beechfall/proxy/Serve.java
+++ b/proxy/src/main/java/walkpost/proxy/Serve.java
@@ -1,7 +1,7 @@
-package beechfall.proxy;
+package walkpost.proxy;
 
-import beechfall.Balancer;
-import beechfall.Policy;
+import walkpost.Balancer;
+import walkpost.Policy;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
--- a/src/main/java/beechfall/proxy/Signals.java
+++ b/proxy/src/main/java/walkpost/proxy/Signals.java
@@ -1,4 +1,4 @@
-package beechfall.proxy;
+package walkpost.proxy;
 
 import java.lang.reflect.InvocationHandler;
 
--- a/src/main/java/beechfall/proxy/Sockets.java
+++ b/proxy/src/main/java/walkpost/proxy/Sockets.java
@@ -1,4 +1,4 @@
-package beechfall.proxy;
+package walkpost.proxy;
 
 import io.netty.channel.Channel;
 import java.util.LinkedHashSet;
--- a/src/main/java/beechfall/proxy/Surroundings.java
+++ b/proxy/src/main/java/walkpost/proxy/Surroundings.java
@@ -1,4 +1,4 @@
-package beechfall.proxy;
+package walkpost.proxy;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
--- a/src/main/java/beechfall/proxy/Warmup.java
+++ b/proxy/src/main/java/walkpost/proxy/Warmup.java
@@ -1,7 +1,7 @@
-package beechfall.proxy;
+package walkpost.proxy;
 
-import beechfall.Balancer;
-import beechfall.Policy;
+import walkpost.Balancer;
+import walkpost.Policy;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
--- a/src/main/java/beechfall/wire/Codec.java
+++ b/proxy/src/main/java/walkpost/wire/Codec.java
@@ -1,6 +1,6 @@
-package beechfall.wire;
+package walkpost.wire;
 
-import beechfall.Balancer;
+import walkpost.Balancer;
 import java.util.HashMap;
 import java.util.Map;
 
--- a/src/main/java/beechfall/wire/Fields.java
+++ b/proxy/src/main/java/walkpost/wire/Fields.java
@@ -1,4 +1,4 @@
-package beechfall.wire;
+package walkpost.wire;
 
 /** One line of the wire: a name and its name=value pairs, reused from line to line. */
 final class Fields {
--- a/src/main/java/beechfall/wire/Host.java
+++ b/proxy/src/main/java/walkpost/wire/Host.java
@@ -1,7 +1,7 @@
-package beechfall.wire;
+package walkpost.wire;
 
-import beechfall.Balancer;
-import beechfall.Policy;
+import walkpost.Balancer;
+import walkpost.Policy;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStream;
--- a/src/main/java/beechfall/wire/Main.java
+++ b/proxy/src/main/java/walkpost/wire/Main.java
@@ -1,4 +1,4 @@
-package beechfall.wire;
+package walkpost.wire;
 
 import java.io.FileDescriptor;
 import java.io.FileOutputStream;
@@ -16,7 +16,7 @@
      */
     public static void main(String[] args) throws IOException {
         if (args.length != 1 || !args[0].equals("drill")) {
-            System.err.println("usage: java -jar beechfall.jar drill");
+            System.err.println("usage: java -jar walkpost.jar drill");
             System.exit(2);
         }
         try (var out = new FileOutputStream(FileDescriptor.out)) {
--- a/src/main/java/beechfall/wire/WireException.java
+++ b/proxy/src/main/java/walkpost/wire/WireException.java
@@ -1,4 +1,4 @@
-package beechfall.wire;
+package walkpost.wire;
 
 /** Input that is not a legal message of the wire; the message says what is wrong with it. */
 final class WireException extends RuntimeException {
--- a/src/test/java/beechfall/CrowdTest.java
+++ b/proxy/src/test/java/walkpost/CrowdTest.java
@@ -1,18 +1,18 @@
-package beechfall;
-
-import static beechfall.Proxy.LIMITS;
-import static beechfall.Proxy.MS;
-import static beechfall.Proxy.PAY;
-import static beechfall.Proxy.READ;
-import static beechfall.Proxy.RULES;
-import static beechfall.Proxy.backend;
+package walkpost;
+
+import static walkpost.Proxy.LIMITS;
+import static walkpost.Proxy.MS;
+import static walkpost.Proxy.PAY;
+import static walkpost.Proxy.READ;
+import static walkpost.Proxy.RULES;
+import static walkpost.Proxy.backend;
 import static org.assertj.core.api.Assertions.assertThat;
 
-import beechfall.Balancer.Fail;
-import beechfall.Balancer.Outcome;
-import beechfall.Balancer.Refuse;
-import beechfall.Balancer.Send;
-import beechfall.Balancer.Tenant;
+import walkpost.Balancer.Fail;
+import walkpost.Balancer.Outcome;
+import walkpost.Balancer.Refuse;
+import walkpost.Balancer.Send;
+import walkpost.Balancer.Tenant;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/beechfall/EmbeddingTest.java
+++ b/proxy/src/test/java/walkpost/EmbeddingTest.java
@@ -1,4 +1,4 @@
-package beechfall;
+package walkpost;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
--- a/src/test/java/beechfall/ExclusionTest.java
+++ b/proxy/src/test/java/walkpost/ExclusionTest.java
@@ -1,19 +1,19 @@
-package beechfall;
+package walkpost;
 
-import static beechfall.Proxy.MS;
-import static beechfall.Proxy.READ;
-import static beechfall.Proxy.S;
-import static beechfall.Proxy.backend;
-import static beechfall.Proxy.started;
+import static walkpost.Proxy.MS;
+import static walkpost.Proxy.READ;
+import static walkpost.Proxy.S;
+import static walkpost.Proxy.backend;
+import static walkpost.Proxy.started;
 import static org.assertj.core.api.Assertions.assertThat;
 
-import beechfall.Balancer.Excluded;
-import beechfall.Balancer.Included;
-import beechfall.Balancer.ListKind;
-import beechfall.Balancer.Members;
-import beechfall.Balancer.Outcome;
-import beechfall.Balancer.Release;
-import beechfall.Balancer.State;
+import walkpost.Balancer.Excluded;
+import walkpost.Balancer.Included;
+import walkpost.Balancer.ListKind;
+import walkpost.Balancer.Members;
+import walkpost.Balancer.Outcome;
+import walkpost.Balancer.Release;
+import walkpost.Balancer.State;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/beechfall/PickTest.java
+++ b/proxy/src/test/java/walkpost/PickTest.java
@@ -1,15 +1,15 @@
-package beechfall;
+package walkpost;
 
-import static beechfall.Proxy.MS;
-import static beechfall.Proxy.READ;
-import static beechfall.Proxy.S;
-import static beechfall.Proxy.VOTE;
-import static beechfall.Proxy.backend;
+import static walkpost.Proxy.MS;
+import static walkpost.Proxy.READ;
+import static walkpost.Proxy.S;
+import static walkpost.Proxy.VOTE;
+import static walkpost.Proxy.backend;
 import static org.assertj.core.api.Assertions.assertThat;
 
-import beechfall.Balancer.Backend;
-import beechfall.Balancer.Outcome;
-import beechfall.Balancer.State;
+import walkpost.Balancer.Backend;
+import walkpost.Balancer.Outcome;
+import walkpost.Balancer.State;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
--- a/src/test/java/beechfall/RetuneTest.java
+++ b/proxy/src/test/java/walkpost/RetuneTest.java
@@ -1,22 +1,22 @@
-package beechfall;
+package walkpost;
 
-import static beechfall.Proxy.LIMITS;
-import static beechfall.Proxy.MS;
-import static beechfall.Proxy.PAY;
-import static beechfall.Proxy.READ;
-import static beechfall.Proxy.RULES;
-import static beechfall.Proxy.S;
-import static beechfall.Proxy.backend;
+import static walkpost.Proxy.LIMITS;
+import static walkpost.Proxy.MS;
+import static walkpost.Proxy.PAY;
+import static walkpost.Proxy.READ;
+import static walkpost.Proxy.RULES;
+import static walkpost.Proxy.S;
+import static walkpost.Proxy.backend;
 import static org.assertj.core.api.Assertions.assertThat;
 
-import beechfall.Balancer.Effect;
-import beechfall.Balancer.Limits;
-import beechfall.Balancer.Outcome;
-import beechfall.Balancer.RequestClass;
-import beechfall.Balancer.Retuned;
-import beechfall.Balancer.Scope;
-import beechfall.Balancer.Settings;
-import beechfall.Balancer.Tenant;
+import walkpost.Balancer.Effect;
+import walkpost.Balancer.Limits;
+import walkpost.Balancer.Outcome;
+import walkpost.Balancer.RequestClass;
+import walkpost.Balancer.Retuned;
+import walkpost.Balancer.Scope;
+import walkpost.Balancer.Settings;
+import walkpost.Balancer.Tenant;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
--- a/src/test/java/beechfall/proxy/BackendsTest.java
+++ b/proxy/src/test/java/walkpost/proxy/BackendsTest.java
@@ -1,14 +1,14 @@
-package beechfall.proxy;
+package walkpost.proxy;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import beechfall.Balancer.Arrival;
-import beechfall.Balancer.AttemptEnded;
-import beechfall.Balancer.Fail;
-import beechfall.Balancer.Outcome;
-import beechfall.Balancer.Release;
-import beechfall.Balancer.Send;
-import beechfall.Balancer.Watch;
+import walkpost.Balancer.Arrival;
+import walkpost.Balancer.AttemptEnded;
+import walkpost.Balancer.Fail;
+import walkpost.Balancer.Outcome;
+import walkpost.Balancer.Release;
+import walkpost.Balancer.Send;
+import walkpost.Balancer.Watch;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
--- a/src/test/java/beechfall/proxy/ConfigTest.java
+++ b/proxy/src/test/java/walkpost/proxy/ConfigTest.java
@@ -1,9 +1,9 @@
-package beechfall.proxy;
+package walkpost.proxy;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-import beechfall.Balancer;
+import walkpost.Balancer;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.file.Files;
 import java.nio.file.Path;
--- a/src/test/java/beechfall/proxy/DiscoveryTest.java
+++ b/proxy/src/test/java/walkpost/proxy/DiscoveryTest.java
@@ -1,14 +1,14 @@
-package beechfall.proxy;
+package walkpost.proxy;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import beechfall.Balancer.Backend;
-import beechfall.Balancer.Event;
-import beechfall.Balancer.Fetch;
-import beechfall.Balancer.ListKind;
-import beechfall.Balancer.Members;
-import beechfall.Balancer.State;
-import beechfall.Balancer.Watch;
+import walkpost.Balancer.Backend;
+import walkpost.Balancer.Event;
+import walkpost.Balancer.Fetch;
+import walkpost.Balancer.ListKind;
+import walkpost.Balancer.Members;
+import walkpost.Balancer.State;
+import walkpost.Balancer.Watch;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.nio.file.Files;
@@ -158,7 +158,7 @@
 
     @Test
     void fetchesTheWholeListOnce() throws Exception {
-        try (var proxy = new Fixture((Event event, java.util.function.Consumer<beechfall.Balancer.Action> actions) -> {
+        try (var proxy = new Fixture((Event event, java.util.function.Consumer<walkpost.Balancer.Action> actions) -> {
             if (event instanceof Members m && m.kind() == ListKind.CACHED) {
                 actions.accept(new Fetch());
             }
--- a/src/test/java/beechfall/proxy/Fixture.java
+++ b/proxy/src/test/java/walkpost/proxy/Fixture.java
@@ -1,9 +1,9 @@
-package beechfall.proxy;
+package walkpost.proxy;
 
-import beechfall.Balancer;
-import beechfall.Balancer.Action;
-import beechfall.Balancer.Event;
-import beechfall.Policy;
+import walkpost.Balancer;
+import walkpost.Balancer.Action;
+import walkpost.Balancer.Event;
+import walkpost.Policy;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.Closeable;
 import java.io.IOException;
--- a/src/test/java/beechfall/proxy/FrontendTest.java
+++ b/proxy/src/test/java/walkpost/proxy/FrontendTest.java
@@ -1,11 +1,11 @@
-package beechfall.proxy;
+package walkpost.proxy;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import beechfall.Balancer.Arrival;
-import beechfall.Balancer.ClientGone;
-import beechfall.Balancer.Fail;
-import beechfall.Balancer.Refuse;
+import walkpost.Balancer.Arrival;
+import walkpost.Balancer.ClientGone;
+import walkpost.Balancer.Fail;
+import walkpost.Balancer.Refuse;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
--- a/src/test/java/beechfall/proxy/LongBodyTest.java
+++ b/proxy/src/test/java/walkpost/proxy/LongBodyTest.java
@@ -1,17 +1,17 @@
-package beechfall.proxy;
+package walkpost.proxy;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-import beechfall.Balancer.Arrival;
-import beechfall.Balancer.AttemptEnded;
-import beechfall.Balancer.Fail;
-import beechfall.Balancer.Outcome;
-import beechfall.Balancer.Refuse;
-import beechfall.Balancer.RequestSending;
-import beechfall.Balancer.RequestSent;
-import beechfall.Balancer.Send;
-import beechfall.Balancer.StreamStarted;
+import walkpost.Balancer.Arrival;
+import walkpost.Balancer.AttemptEnded;
+import walkpost.Balancer.Fail;
+import walkpost.Balancer.Outcome;
+import walkpost.Balancer.Refuse;
+import walkpost.Balancer.RequestSending;
+import walkpost.Balancer.RequestSent;
+import walkpost.Balancer.Send;
+import walkpost.Balancer.StreamStarted;
 import java.io.IOException;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
--- a/src/test/java/beechfall/proxy/OperatorDoorTest.java
+++ b/proxy/src/test/java/walkpost/proxy/OperatorDoorTest.java
@@ -1,14 +1,14 @@
-package beechfall.proxy;
+package walkpost.proxy;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import beechfall.Balancer.Arrival;
-import beechfall.Balancer.AttemptEnded;
-import beechfall.Balancer.Excluded;
-import beechfall.Balancer.Included;
-import beechfall.Balancer.Outcome;
-import beechfall.Balancer.Send;
-import beechfall.Balancer.Watch;
+import walkpost.Balancer.Arrival;
+import walkpost.Balancer.AttemptEnded;
+import walkpost.Balancer.Excluded;
+import walkpost.Balancer.Included;
+import walkpost.Balancer.Outcome;
+import walkpost.Balancer.Send;
+import walkpost.Balancer.Watch;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
--- a/src/test/java/beechfall/proxy/PassageTest.java
+++ b/proxy/src/test/java/walkpost/proxy/PassageTest.java
@@ -1,4 +1,4 @@
-package beechfall.proxy;
+package walkpost.proxy;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/src/test/java/beechfall/proxy/Peer.java
+++ b/proxy/src/test/java/walkpost/proxy/Peer.java
@@ -1,4 +1,4 @@
-package beechfall.proxy;
+package walkpost.proxy;
 
 import java.io.Closeable;
 import java.io.IOException;
--- a/src/test/java/beechfall/proxy/Platform.java
+++ b/proxy/src/test/java/walkpost/proxy/Platform.java
@@ -1,4 +1,4 @@
-package beechfall.proxy;
+package walkpost.proxy;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.Closeable;
--- a/src/test/java/beechfall/proxy/Program.java
+++ b/proxy/src/test/java/walkpost/proxy/Program.java
@@ -1,4 +1,4 @@
-package beechfall.proxy;
+package walkpost.proxy;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.BufferedReader;
@@ -14,7 +14,7 @@
 final class Program implements Closeable {
     /** The command that {@code run} stands for here. */
     static final List<String> SERVE = List.of(ProcessHandle.current().info().command().orElseThrow(), "-cp",
-            System.getProperty("java.class.path"), "beechfall.Main", "serve");
+            System.getProperty("java.class.path"), "walkpost.proxy.Serve");
 
     private final Path file;
     private final Process process;
--- a/src/test/java/beechfall/proxy/ProxyTest.java
+++ b/proxy/src/test/java/walkpost/proxy/ProxyTest.java
@@ -1,15 +1,15 @@
-package beechfall.proxy;
+package walkpost.proxy;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import beechfall.Balancer.Arrival;
-import beechfall.Balancer.AttemptEnded;
-import beechfall.Balancer.Cancel;
-import beechfall.Balancer.ClientGone;
-import beechfall.Balancer.Outcome;
-import beechfall.Balancer.Send;
-import beechfall.Balancer.SetTimer;
-import beechfall.Balancer.TimerFired;
+import walkpost.Balancer.Arrival;
+import walkpost.Balancer.AttemptEnded;
+import walkpost.Balancer.Cancel;
+import walkpost.Balancer.ClientGone;
+import walkpost.Balancer.Outcome;
+import walkpost.Balancer.Send;
+import walkpost.Balancer.SetTimer;
+import walkpost.Balancer.TimerFired;
 import org.junit.jupiter.api.Test;
 
 /** What the proxy does round the module, whatever the module does. */
--- a/src/test/java/beechfall/proxy/RetuneTest.java
+++ b/proxy/src/test/java/walkpost/proxy/RetuneTest.java
@@ -1,12 +1,12 @@
-package beechfall.proxy;
+package walkpost.proxy;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import beechfall.Balancer.Arrival;
-import beechfall.Balancer.AttemptEnded;
-import beechfall.Balancer.Outcome;
-import beechfall.Balancer.Retuned;
-import beechfall.Balancer.Send;
+import walkpost.Balancer.Arrival;
+import walkpost.Balancer.AttemptEnded;
+import walkpost.Balancer.Outcome;
+import walkpost.Balancer.Retuned;
+import walkpost.Balancer.Send;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.file.Files;
--- a/src/test/java/beechfall/proxy/ServeTest.java
+++ b/proxy/src/test/java/walkpost/proxy/ServeTest.java
@@ -1,11 +1,11 @@
-package beechfall.proxy;
+package walkpost.proxy;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-import beechfall.Balancer.Arrival;
-import beechfall.Balancer.Fetch;
-import beechfall.Balancer.Members;
+import walkpost.Balancer.Arrival;
+import walkpost.Balancer.Fetch;
+import walkpost.Balancer.Members;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
--- a/src/test/java/beechfall/proxy/UpgradeTest.java
+++ b/proxy/src/test/java/walkpost/proxy/UpgradeTest.java
@@ -1,12 +1,12 @@
-package beechfall.proxy;
+package walkpost.proxy;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import beechfall.Balancer.Arrival;
-import beechfall.Balancer.ListKind;
-import beechfall.Balancer.Members;
-import beechfall.Balancer.Send;
-import beechfall.Balancer.Watch;
+import walkpost.Balancer.Arrival;
+import walkpost.Balancer.ListKind;
+import walkpost.Balancer.Members;
+import walkpost.Balancer.Send;
+import walkpost.Balancer.Watch;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.channel.DefaultEventLoop;
 import java.net.InetAddress;
--- a/src/test/java/beechfall/wire/HostTest.java
+++ b/proxy/src/test/java/walkpost/wire/HostTest.java
@@ -1,8 +1,8 @@
-package beechfall.wire;
+package walkpost.wire;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import beechfall.Balancer;
+import walkpost.Balancer;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -129,7 +129,7 @@
     @Test
     void aFailureOfTheModulePanicsThatInstanceAndSaysWhere() throws IOException {
         assertThat(run(batch(UP, "deadline_hit who=3 ctx=boom\n"))).isZero();
-        assertThat(written()).startsWith("panic who=3 message=java.lang.IllegalStateException: out of order at beechfall")
+        assertThat(written()).startsWith("panic who=3 message=java.lang.IllegalStateException: out of order at walkpost")
                 .endsWith("\nok\n").contains("HostTest.java:");
     }
 
