--- /dev/null
+++ b/app/src/test/java/walkpost/app/RoomsTest.java
@@ -0,0 +1,48 @@
+package walkpost.app;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.lang.ArchRule;
+import org.assertj.core.api.Assertions;
+import org.junit.jupiter.api.Test;
+
+/** Which room sees which: app sees proxy and lab, and those two don't see each other. */
+final class RoomsTest {
+    private static final JavaClasses PROGRAM = new ClassFileImporter()
+            .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("walkpost");
+    private static final String[] PROXY = {"walkpost", "walkpost.proxy..", "walkpost.wire.."};
+    private static final String LAB = "walkpost.lab..";
+    private static final String APP = "walkpost.app..";
+
+    @Test
+    void theLabSeesNeitherProxyNorApp() {
+        noClasses().that().resideInAPackage(LAB).should().dependOnClassesThat().resideInAnyPackage(PROXY)
+                .orShould().dependOnClassesThat().resideInAPackage(APP).check(PROGRAM);
+    }
+
+    @Test
+    void whatServesSeesNeitherLabNorApp() {
+        noClasses().that().resideInAnyPackage(PROXY).should().dependOnClassesThat().resideInAnyPackage(LAB, APP)
+                .check(PROGRAM);
+    }
+
+    @Test
+    void theModuleSeesNoSocketsAndNoClock() {
+        noClasses().that().resideInAPackage("walkpost").should().dependOnClassesThat()
+                .resideInAnyPackage("walkpost.proxy..", "walkpost.wire..", "io.netty..", "java.net..", "java.nio..")
+                .check(PROGRAM);
+    }
+
+    /** A rule that no class falls under would hold whatever the program does. */
+    @Test
+    void theArrowsAreSeenAtAll() {
+        ArchRule turned = classes().that().resideInAPackage(APP).should().onlyDependOnClassesThat()
+                .resideOutsideOfPackages(PROXY);
+        Assertions.assertThatThrownBy(() -> turned.check(PROGRAM)).isInstanceOf(AssertionError.class)
+                .hasMessageContaining("walkpost.proxy.Serve");
+    }
+}
