Play a scenario on real processes and judge it from its ledger

Need: several processes of the program with faults between them, and a verdict that shares no code with what is judged. Change: tile servers, discovery, clients, front and rude peers behind real sockets on 127.0.0.0/8; latency, silence and resets of single pairs; processes that hear every signal and end with the lab; faults by time or event; a ledger; rules and G judged after the fact; lab run, check and list.

--- /dev/null
+++ b/lab/src/main/java/walkpost/lab/net/Stage.java
@@ -0,0 +1,19 @@
+package walkpost.lab.net;
+
+import walkpost.lab.ledger.Ledger;
+import walkpost.lab.scenario.Plan;
+import walkpost.lab.scenario.Scenario;
+import walkpost.lab.scenario.Streams;
+
+/** What all stand-ins of one play go by. */
+public record Stage(Scenario scenario, Plan plan, Streams streams, PlayClock clock, Ledger ledger, Book book, Loops loops) {
+    /** Returns a link as the scenario's network has it between a proxy and a machine. */
+    public Link link() {
+        return new Link(scenario.network().latencyUs(), scenario.network().jitterUs());
+    }
+
+    /** Returns a link as the scenario's network has it between clients and a proxy. */
+    public Link clientLink() {
+        return new Link(scenario.network().clientUs(), scenario.network().jitterUs());
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/walkpost/lab/play/Play.java
@@ -0,0 +1,146 @@
+package walkpost.lab.play;
+
+import java.io.IOException;
+import java.io.Writer;
+import java.lang.management.ManagementFactory;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.locks.LockSupport;
+import walkpost.lab.client.RudePeer;
+import walkpost.lab.ledger.Ledger;
+import walkpost.lab.ledger.Seen;
+import walkpost.lab.net.Book;
+import walkpost.lab.net.Loops;
+import walkpost.lab.net.PlayClock;
+import walkpost.lab.net.Stage;
+import walkpost.lab.process.Program;
+import walkpost.lab.scenario.Plan;
+import walkpost.lab.scenario.Planner;
+import walkpost.lab.scenario.Scenario;
+import walkpost.lab.scenario.Streams;
+
+/**
+ * Plays a scenario once: starts the fleet, sends what was drawn, carries the faults out and leaves a plan and a ledger. The
+ * thread that calls {@link #run} starts all processes, and lives until they have ended.
+ */
+public final class Play {
+    /** The name of the ledger in a play's folder. */
+    public static final String LEDGER = "ledger.jsonl";
+    /** The name of the plan in a play's folder. */
+    public static final String PLAN = "plan.jsonl";
+    private static final int LOOPS = 3;
+    private static final long READY_US = 30_000_000;
+    private static final long SOON_US = 300_000;
+    private static final long SECOND = 1_000_000;
+    /** The last answers are waited for so long after the last request's time. */
+    private static final long LAST_US = 700_000;
+    private static final long STEP_NS = 500_000;
+
+    private final Scenario scenario;
+    private final Plan plan;
+    private final Program program;
+    private final Path folder;
+    private final Progress progress;
+    private volatile boolean stopped;
+
+    /** What a play says of itself while it goes on. */
+    public interface Progress {
+        /** So much of it is over, from 0 to 1. */
+        void at(double part, String what);
+    }
+
+    /** Prepares a play that leaves its records in a folder. */
+    public Play(Scenario scenario, long seed, Program program, Path folder, Progress progress) {
+        this.scenario = scenario;
+        plan = Planner.plan(scenario, seed);
+        this.program = program;
+        this.folder = folder;
+        this.progress = progress;
+    }
+
+    /** Ends the play early; what was seen until then stands in the ledger. */
+    public void stop() {
+        stopped = true;
+    }
+
+    /**
+     * Plays.
+     *
+     * @throws IOException if the folder can't be written to or a process not be started
+     */
+    public void run() throws IOException {
+        Files.createDirectories(folder);
+        try (Writer out = Files.newBufferedWriter(folder.resolve(PLAN))) {
+            plan.write(out);
+        }
+        var clock = new PlayClock();
+        clock.zeroIn(READY_US);
+        try (var ledger = new Ledger(folder.resolve(LEDGER)); var loops = new Loops(LOOPS)) {
+            var stage = new Stage(scenario, plan, new Streams(plan.seed()), clock, ledger, new Book(), loops);
+            try (var fleet = new Fleet(stage, program, folder)) {
+                play(stage, fleet);
+            }
+        }
+    }
+
+    private void play(Stage stage, Fleet fleet) {
+        for (int proxy = 0; proxy < scenario.fleet().proxies(); proxy++) {
+            fleet.start(proxy);
+        }
+        fleet.watch();
+        awaitReady(stage, fleet);
+        stage.clock().zeroIn(SOON_US);
+        stage.ledger().note(new Seen.Begun(0, scenario.name(), plan.seed(), stage.clock().zeroUnixMs(), program.name()));
+        stage.loops().watch();
+        var timeline = new Timeline();
+        var faults = new Faults(stage, fleet, timeline);
+        plan.peers().forEach(peer -> timeline.at(peer.dueUs(), () -> rude(stage, fleet, peer)));
+        for (long t = 0; t <= scenario.lengthUs(); t += SECOND) {
+            long at = t;
+            timeline.at(t, () -> {
+                fleet.noteUse();
+                progress.at((double) at / scenario.lengthUs(), fleet.front().admittedCount() + " proxies admitted");
+            });
+        }
+        var generator = new Thread(fleet.clients()::run, "generator");
+        generator.start();
+        long longest = scenario.classes().stream().mapToLong(Scenario.RequestClass::deadlineUs).max().orElse(0);
+        long end = scenario.lengthUs() + longest + LAST_US;
+        while (!stopped && stage.clock().now() < end) {
+            boolean waits = faults.look();
+            timeline.run(stage.clock().now());
+            long left = (Math.min(timeline.nextUs(), end) - stage.clock().now()) * 1_000;
+            LockSupport.parkNanos(Math.max(1, waits ? Math.min(left, STEP_NS) : Math.min(left, 20 * STEP_NS)));
+        }
+        fleet.clients().stop();
+        try {
+            generator.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        fleet.noteUse();
+        stage.ledger().note(new Seen.Finished(stage.clock().now(), !stopped, fleet.clients().lateP99Us(), stage.loops().heldUs(),
+                cpuMs()));
+    }
+
+    private static long cpuMs() {
+        return ManagementFactory.getPlatformMXBean(com.sun.management.OperatingSystemMXBean.class).getProcessCpuTime() / 1_000_000;
+    }
+
+    private void rude(Stage stage, Fleet fleet, Plan.Peer peer) {
+        int proxy = fleet.front().pick(peer.front());
+        if (proxy >= 0) {
+            RudePeer.send(stage, proxy, fleet.proxies().get(proxy).address(), peer);
+        }
+    }
+
+    /** Clients arrive once all proxies are ready, or after 30 s (DEPLOY). */
+    private void awaitReady(Stage stage, Fleet fleet) {
+        int count = scenario.fleet().proxies();
+        while (!stopped && stage.clock().now() < 0 && fleet.front().admittedCount() < count
+                && fleet.proxies().stream().allMatch(p -> p.alive())) {
+            LockSupport.parkNanos(10_000_000);
+            progress.at(0, fleet.front().admittedCount() + " of " + count + " proxies ready");
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/walkpost/lab/verdict/Break.java
@@ -0,0 +1,12 @@
+package walkpost.lab.verdict;
+
+/**
+ * A rule that was broken.
+ *
+ * @param id the request it happened to; empty where it is about none
+ * @param proxy -1 where it is about no one proxy
+ */
+public record Break(Rule rule, long t, int proxy, String id, String what) {
+    /** The rules, by the names of docs/lab.md. */
+    public enum Rule { ANSWER, DOOR, BODY, REPEAT, STRANGER, DRAIN, COLD, PROCESS }
+}
