--- a/lab/src/main/java/walkpost/lab/Lab.java
+++ b/lab/src/main/java/walkpost/lab/Lab.java
@@ -53,6 +53,10 @@
             }
         }
         Files.copy(scenario, out.resolve(SCENARIO));
+        Path base = ScenarioReader.base(scenario);
+        if (base != null) {
+            Files.copy(base, out.resolve(base.getFileName()));
+        }
         JSON.writeValue(out.resolve(PLAYED).toFile(), Map.of("seed", seed, "program", program.name()));
         var play = new Play(read, seed, program, out, progress);
         Thread player = Thread.currentThread();
--- a/lab/src/main/java/walkpost/lab/client/Clients.java
+++ b/lab/src/main/java/walkpost/lab/client/Clients.java
@@ -40,7 +40,7 @@
         this.front = front;
         answered = new AtomicLongArray(proxies.size());
         for (int proxy = 0; proxy < proxies.size(); proxy++) {
-            pools.add(new ClientPool(stage, stage.loops().of(proxy), proxy, proxies.get(proxy), this::ended));
+            pools.add(new ClientPool(stage, stage.clientLoops().of(proxy), proxy, proxies.get(proxy), this::ended));
         }
     }
 
--- a/lab/src/main/java/walkpost/lab/client/ReadyWatch.java
+++ b/lab/src/main/java/walkpost/lab/client/ReadyWatch.java
@@ -43,7 +43,7 @@
         this.front = front;
         this.proxy = proxy;
         this.address = address;
-        loop = stage.loops().of(proxy);
+        loop = stage.clientLoops().of(proxy);
     }
 
     /** Begins to ask. */
--- a/lab/src/main/java/walkpost/lab/client/RudePeer.java
+++ b/lab/src/main/java/walkpost/lab/client/RudePeer.java
@@ -34,7 +34,7 @@
 
     /** Sends one to a proxy. */
     public static void send(Stage stage, int proxy, InetSocketAddress address, Plan.Peer plan) {
-        EventLoop loop = stage.loops().of(proxy);
+        EventLoop loop = stage.clientLoops().of(proxy);
         var peer = new RudePeer(stage, proxy, plan);
         loop.execute(() -> new Bootstrap().group(loop).channel(NioSocketChannel.class).handler(peer).connect(address)
                 .addListener(connected -> {
--- a/lab/src/main/java/walkpost/lab/net/Door.java
+++ b/lab/src/main/java/walkpost/lab/net/Door.java
@@ -16,6 +16,7 @@
 import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /**
@@ -29,9 +30,16 @@
     /** A backlog of 1 holds two connections; the third waits for good. */
     private static final int FILLING = 3;
 
+    private static final int MOST_TRIES = 500;
+
+    private enum State { OPEN, CLOSED, DEAF }
+
     private final EventLoop loop;
     private final Consumer<SocketChannel> admit;
     private InetSocketAddress address;
+    private State state = State.CLOSED;
+    private State wanted = State.CLOSED;
+    private int tries;
     private Channel open;
     private ServerSocketChannel deaf;
     private final List<java.nio.channels.SocketChannel> filling = new ArrayList<>();
@@ -59,10 +67,54 @@
 
     /** Opens it: connections are taken from now on. */
     public void open() {
+        become(State.OPEN);
+    }
+
+    /** Closes it: connections are refused from now on; those there are not touched. */
+    public void close() {
+        become(State.CLOSED);
+    }
+
+    /** Lets no connection come up from now on, nor be refused. */
+    public void deafen() {
+        become(State.DEAF);
+    }
+
+    private void become(State next) {
+        wanted = next;
+        tries = 0;
+        if (state != next) {
+            settle();
+        }
+    }
+
+    /** A channel that is registered gives its address up only once its selector has looked again; until then we try. */
+    private void settle() {
+        if (state == wanted) {
+            return;
+        }
         endDeafness();
         if (open != null) {
-            return;
+            open.close();
+            open = null;
         }
+        state = State.CLOSED;
+        try {
+            if (wanted == State.OPEN) {
+                listen();
+            } else if (wanted == State.DEAF) {
+                fill();
+            }
+            state = wanted;
+        } catch (IOException e) {
+            if (++tries > MOST_TRIES) {
+                throw new IllegalStateException(address + " can't be had any more", e);
+            }
+            loop.schedule(this::settle, 1, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void listen() throws IOException {
         ChannelHandler initializer = new ChannelInitializer<SocketChannel>() {
             @Override
             protected void initChannel(SocketChannel channel) {
@@ -70,40 +122,32 @@
             }
         };
         // On its own loop a channel is registered and bound before these calls return.
-        open = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
+        Channel channel = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, 256)
                 .childOption(ChannelOption.TCP_NODELAY, true).childHandler(initializer).register().channel();
-        var bound = open.bind(address);
+        var bound = channel.bind(address);
         if (!bound.isSuccess()) {
-            throw new IllegalStateException(address + " can't be listened at", bound.cause());
-        }
-        address = (InetSocketAddress) open.localAddress();
-    }
-
-    /** Closes it: connections are refused from now on; those there are not touched. */
-    public void close() {
-        endDeafness();
-        if (open != null) {
-            open.close();
-            open = null;
+            channel.close();
+            throw new IOException(bound.cause());
         }
+        open = channel;
+        address = (InetSocketAddress) channel.localAddress();
     }
 
-    /** Lets no connection come up from now on, nor be refused. */
-    public void deafen() {
-        close();
+    private void fill() throws IOException {
+        deaf = ServerSocketChannel.open();
         try {
-            deaf = ServerSocketChannel.open();
             deaf.setOption(StandardSocketOptions.SO_REUSEADDR, true);
             deaf.bind(address, 1);
-            for (int i = 0; i < FILLING; i++) {
-                var filler = java.nio.channels.SocketChannel.open();
-                filler.configureBlocking(false);
-                filling.add(filler);
-                filler.connect(address);
-            }
         } catch (IOException e) {
-            throw new IllegalStateException(address + " can't be made deaf", e);
+            endDeafness();
+            throw e;
+        }
+        for (int i = 0; i < FILLING; i++) {
+            var filler = java.nio.channels.SocketChannel.open();
+            filler.configureBlocking(false);
+            filling.add(filler);
+            filler.connect(address);
         }
     }
 
--- a/lab/src/main/java/walkpost/lab/play/Play.java
+++ b/lab/src/main/java/walkpost/lab/play/Play.java
@@ -28,7 +28,7 @@
     public static final String LEDGER = "ledger.jsonl";
     /** The name of the plan in a play's folder. */
     public static final String PLAN = "plan.jsonl";
-    private static final int LOOPS = 3;
+    private static final int LOOPS = 2;
     private static final long READY_US = 30_000_000;
     private static final long SOON_US = 300_000;
     private static final long SECOND = 1_000_000;
@@ -75,8 +75,9 @@
         }
         var clock = new PlayClock();
         clock.zeroIn(READY_US);
-        try (var ledger = new Ledger(folder.resolve(LEDGER)); var loops = new Loops(LOOPS)) {
-            var stage = new Stage(scenario, plan, new Streams(plan.seed()), clock, ledger, new Book(), loops);
+        try (var ledger = new Ledger(folder.resolve(LEDGER)); var loops = new Loops(LOOPS);
+                var clientLoops = new Loops(LOOPS)) {
+            var stage = new Stage(scenario, plan, new Streams(plan.seed()), clock, ledger, new Book(), loops, clientLoops);
             try (var fleet = new Fleet(stage, program, folder)) {
                 play(stage, fleet);
             }
@@ -92,6 +93,7 @@
         stage.clock().zeroIn(SOON_US);
         stage.ledger().note(new Seen.Begun(0, scenario.name(), plan.seed(), stage.clock().zeroUnixMs(), program.name()));
         stage.loops().watch();
+        stage.clientLoops().watch();
         var timeline = new Timeline();
         var faults = new Faults(stage, fleet, timeline);
         plan.peers().forEach(peer -> timeline.at(peer.dueUs(), () -> rude(stage, fleet, peer)));
@@ -106,21 +108,27 @@
         generator.start();
         long longest = scenario.classes().stream().mapToLong(Scenario.RequestClass::deadlineUs).max().orElse(0);
         long end = scenario.lengthUs() + longest + LAST_US;
-        while (!stopped && stage.clock().now() < end) {
-            boolean waits = faults.look();
-            timeline.run(stage.clock().now());
-            long left = (Math.min(timeline.nextUs(), end) - stage.clock().now()) * 1_000;
-            LockSupport.parkNanos(Math.max(1, waits ? Math.min(left, STEP_NS) : Math.min(left, 20 * STEP_NS)));
+        try {
+            while (!stopped && stage.clock().now() < end) {
+                boolean waits = faults.look();
+                timeline.run(stage.clock().now());
+                long left = (Math.min(timeline.nextUs(), end) - stage.clock().now()) * 1_000;
+                LockSupport.parkNanos(Math.max(1, waits ? Math.min(left, STEP_NS) : Math.min(left, 20 * STEP_NS)));
+            }
+        } finally {
+            fleet.clients().stop();
+            join(generator);
         }
-        fleet.clients().stop();
+        fleet.noteUse();
+        stage.ledger().note(new Seen.Finished(stage.clock().now(), !stopped, fleet.clients().lateP99Us(), Math.max(stage.loops().heldUs(), stage.clientLoops().heldUs()), cpuMs()));
+    }
+
+    private static void join(Thread thread) {
         try {
-            generator.join();
+            thread.join();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        fleet.noteUse();
-        stage.ledger().note(new Seen.Finished(stage.clock().now(), !stopped, fleet.clients().lateP99Us(), stage.loops().heldUs(),
-                cpuMs()));
     }
 
     private static long cpuMs() {
--- a/lab/src/main/java/walkpost/lab/process/Child.java
+++ b/lab/src/main/java/walkpost/lab/process/Child.java
@@ -15,6 +15,8 @@
  * thread that started it ends, however that comes about. That thread must therefore live as long as the play.
  */
 public final class Child {
+    /** So many cores are left to the lab where the machine has some to spare. */
+    private static final int LAB_CORES = 2;
     /** The last words of a process that are kept for the ledger. */
     private static final int LAST_WORDS = 300;
 
@@ -27,14 +29,19 @@
     }
 
     /**
-     * Starts a process; what it writes is added to a log.
+     * Starts a process; what it writes is added to a log. It runs on one core (DEPLOY, "Limits"), shared with others of its
+     * kind, and gives way to the lab: stand-ins that are late would be held against the program.
      *
+     * @param number says which core
      * @throws IOException if it can't be started
      */
-    public static Child start(Program program, Map<String, String> environment, Path log) throws IOException {
+    public static Child start(Program program, int number, Map<String, String> environment, Path log) throws IOException {
         String lab = Long.toString(ProcessHandle.current().pid());
         // The lab may end before the kernel is told to look: who finds another parent then must not stay.
-        var command = new ArrayList<>(List.of("setsid", "env", "--default-signal", "setpriv", "--pdeathsig", "KILL",
+        int cores = Runtime.getRuntime().availableProcessors();
+        int core = cores > LAB_CORES ? LAB_CORES + number % (cores - LAB_CORES) : number % cores;
+        var command = new ArrayList<>(List.of("setsid", "nice", "-n", "10", "taskset", "-c", Integer.toString(core),
+                "env", "--default-signal", "setpriv", "--pdeathsig", "KILL",
                 "/bin/sh", "-c", "[ \"$PPID\" = " + lab + " ] || exit 1; exec \"$@\"", "child"));
         command.addAll(program.command());
         var builder = new ProcessBuilder(command).directory(program.folder().toFile()).redirectErrorStream(true)
--- a/lab/src/main/java/walkpost/lab/process/ProxyProcess.java
+++ b/lab/src/main/java/walkpost/lab/process/ProxyProcess.java
@@ -59,7 +59,7 @@
         Path config = folder.resolve("config.json");
         Files.writeString(config, settings.apply(seed).toString());
         expected = false;
-        child = Child.start(program, Map.of("PROXY_NAME", "n" + number, "PROXY_LISTEN", text(address), "PROXY_CONFIG",
+        child = Child.start(program, number, Map.of("PROXY_NAME", "n" + number, "PROXY_LISTEN", text(address), "PROXY_CONFIG",
                 config.toString(), "TMPDIR", temp.toString()), log);
         note(Seen.Life.STARTED, "pid " + child.pid());
         Child started = child;
--- a/lab/src/main/java/walkpost/lab/scenario/ScenarioReader.java
+++ b/lab/src/main/java/walkpost/lab/scenario/ScenarioReader.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -20,6 +21,7 @@
     private static final int MOST_PROXIES = 100;
     private static final int MOST_SERVERS = 1_000;
     private static final long SECOND = 1_000_000;
+    private static final String BASE = "base";
 
     private ScenarioReader() { }
 
@@ -29,8 +31,38 @@
      * @throws BadScenario if it can't be read or can't be played
      */
     public static Scenario read(Path file) throws BadScenario {
+        ObjectNode whole = tree(file);
+        Path base = base(file, whole);
+        if (base != null) {
+            whole = merged(tree(base), whole);
+        }
+        return scenario(file, whole);
+    }
+
+    /**
+     * Returns the file that another says it is based on, or null: tables are taken from it field by field where the other
+     * has none, lists as a whole.
+     *
+     * @throws BadScenario if the file can't be read
+     */
+    public static Path base(Path file) throws BadScenario {
+        return base(file, tree(file));
+    }
+
+    private static Path base(Path file, ObjectNode tree) throws BadScenario {
+        JsonNode base = tree.remove(BASE);
+        if (base == null) {
+            return null;
+        }
+        if (!base.isTextual()) {
+            throw new BadScenario(file + ": '" + BASE + "': found " + base + ", expected a file's name");
+        }
+        return file.resolveSibling(base.asText());
+    }
+
+    private static ObjectNode tree(Path file) throws BadScenario {
         try {
-            return parse(Files.readString(file));
+            return tree(Files.readString(file));
         } catch (IOException e) {
             throw new BadScenario(file + ": cannot be read: " + e);
         } catch (BadScenario e) {
@@ -38,20 +70,39 @@
         }
     }
 
+    private static Scenario scenario(Path file, ObjectNode tree) throws BadScenario {
+        try {
+            return scenario(new Table("", tree));
+        } catch (BadScenario e) {
+            throw new BadScenario(file + ": " + e.getMessage());
+        }
+    }
+
+    private static ObjectNode merged(ObjectNode base, ObjectNode over) {
+        over.properties().forEach(e -> {
+            JsonNode below = base.get(e.getKey());
+            base.set(e.getKey(), below != null && below.isObject() && e.getValue().isObject()
+                    ? merged((ObjectNode) below, (ObjectNode) e.getValue()) : e.getValue());
+        });
+        return base;
+    }
+
     /**
      * Reads a scenario from its text.
      *
      * @throws BadScenario if it can't be played
      */
     public static Scenario parse(String toml) throws BadScenario {
-        JsonNode root;
+        return scenario(new Table("", tree(toml)));
+    }
+
+    private static ObjectNode tree(String toml) throws BadScenario {
         try {
-            root = new TomlMapper().readTree(toml);
+            return (ObjectNode) new TomlMapper().readTree(toml);
         } catch (JsonProcessingException e) {
             throw new BadScenario("line " + (e.getLocation() == null ? "?" : e.getLocation().getLineNr()) + ": "
                     + e.getOriginalMessage() + ", expected TOML");
         }
-        return scenario(new Table("", root));
     }
 
     private static Scenario scenario(Table t) throws BadScenario {
