--- a/app/src/main/java/walkpost/app/LabCommand.java
+++ b/app/src/main/java/walkpost/app/LabCommand.java
@@ -88,18 +88,18 @@
         private long seed;
         @Option(names = "--out", paramLabel = "DIR", description = "a new folder for all records (lab-out/NAME-SEED-TIME)")
         private Path out;
-        @Option(names = "--program", paramLabel = "DIR", description = "the built checkout of the program to play (this one)")
-        private Path program;
+        @Option(names = "--program", paramLabel = "DIR", description = "the built checkout of the program to play (this one), or "
+                + "plain:CHOICE for one of the lab's own proxies")
+        private String program;
 
         @Override
         public Integer call() throws IOException {
             PrintWriter terminal = lab.spec.commandLine().getOut();
             try {
                 Path scenario = scenario(file);
-                Path root = program == null ? root() : program.toAbsolutePath().normalize();
                 Path folder = out != null ? out : Path.of("lab-out", scenario.getFileName().toString().replace(".toml", "") + "-" + seed
                         + "-" + LocalDateTime.now().format(DateTimeFormatter.ofPattern("MMdd-HHmmss")));
-                Verdict verdict = Lab.run(scenario, seed, Program.ofCheckout(root.getFileName().toString(), root),
+                Verdict verdict = Lab.run(scenario, seed, Program.named(program == null ? root().toString() : program),
                         folder.toAbsolutePath(), progress(terminal));
                 terminal.println("records: " + folder);
                 return told(terminal, verdict);
--- a/lab/src/main/java/walkpost/lab/client/Clients.java
+++ b/lab/src/main/java/walkpost/lab/client/Clients.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicLongArray;
 import java.util.concurrent.locks.LockSupport;
 import org.HdrHistogram.ConcurrentHistogram;
@@ -29,6 +30,8 @@
     private final AtomicLongArray answered;
     private final ConcurrentHistogram late = new ConcurrentHistogram(MOST_LATE_US, 3);
     private final ConcurrentHashMap<Integer, Heavy> heavy = new ConcurrentHashMap<>();
+    private final AtomicLong open = new AtomicLong();
+    private volatile boolean allSent;
     private volatile boolean stopped;
 
     /** What makes some requests of a class heavy, while it lasts. */
@@ -50,8 +53,15 @@
         for (int number = 0; number < arrivals.size() && !stopped; number++) {
             Plan.Arrival arrival = arrivals.get(number);
             waitFor(stage.clock().nanosAt(arrival.dueUs()));
+            open.incrementAndGet();
             begin(number, arrival, 0, arrival.dueUs());
         }
+        allSent = true;
+    }
+
+    /** Returns whether all is sent that was drawn, and nobody waits any more. */
+    public boolean allDone() {
+        return allSent && open.get() == 0;
     }
 
     private void waitFor(long nanos) {
@@ -95,6 +105,7 @@
         int proxy = front.pick(plan.front());
         if (proxy < 0) {
             stage.ledger().note(new Seen.Unsent(stage.clock().now(), number, attempt, plan.id(), dueUs, -1, "nobody is admitted"));
+            open.decrementAndGet();
             return;
         }
         double times = heavy.values().stream()
@@ -104,7 +115,10 @@
                 Math.round(arrival.workUs() * times));
         ClientPool pool = pools.get(proxy);
         pool.loop().execute(() -> {
-            late.recordValue(Math.min(MOST_LATE_US, Math.max(0, stage.clock().now() - dueUs)));
+            if (attempt == 0) {
+                // When a client tries again is its own affair, and timers of a loop are only good for a millisecond.
+                late.recordValue(Math.min(MOST_LATE_US, Math.max(0, stage.clock().now() - dueUs)));
+            }
             pool.send(exchange);
         });
     }
@@ -118,6 +132,7 @@
         boolean refused = status == 429 || status == 503;
         boolean harmless = requestClass.effect() != Scenario.Effect.UNSAFE || refused || !reached;
         if (status == 200 || next >= exchange.arrival.tries().size() || !harmless || stopped) {
+            open.decrementAndGet();
             return;
         }
         Plan.Try plan = exchange.arrival.tries().get(next);
@@ -129,6 +144,8 @@
         if (due < exchange.arrival.dueUs() + requestClass.deadlineUs()) {
             pools.get(exchange.proxy).loop().schedule(() -> begin(exchange.number, exchange.arrival, next, due), wait,
                     TimeUnit.MICROSECONDS);
+        } else {
+            open.decrementAndGet();
         }
     }
 }
--- a/lab/src/main/java/walkpost/lab/discovery/CallQueue.java
+++ b/lab/src/main/java/walkpost/lab/discovery/CallQueue.java
@@ -13,7 +13,8 @@
     private final long entryUs;
     private final long timeoutUs;
     private final ArrayDeque<Waiting<C>> line = new ArrayDeque<>();
-    private long freeUs;
+    /** Free for long: moments before a play's zero are negative. */
+    private long freeUs = Long.MIN_VALUE / 2;
 
     private record Waiting<C>(C call, long sinceUs) { }
 
--- a/lab/src/main/java/walkpost/lab/net/Stage.java
+++ b/lab/src/main/java/walkpost/lab/net/Stage.java
@@ -6,7 +6,7 @@
 import walkpost.lab.scenario.Streams;
 
 /** What all stand-ins of one play go by. Clients have loops of their own: what servers do must not make them late. */
-public record Stage(Scenario scenario, Plan plan, Streams streams, PlayClock clock, Ledger ledger, Book book, Loops loops,
+public record Stage(Scenario scenario, Plan plan, Streams streams, PlayClock clock, Ledger ledger, Book book, Board board, Loops loops,
         Loops clientLoops) {
     /** Returns a link as the scenario's network has it between a proxy and a machine. */
     public Link link() {
--- a/lab/src/main/java/walkpost/lab/play/Play.java
+++ b/lab/src/main/java/walkpost/lab/play/Play.java
@@ -9,6 +9,7 @@
 import walkpost.lab.client.RudePeer;
 import walkpost.lab.ledger.Ledger;
 import walkpost.lab.ledger.Seen;
+import walkpost.lab.net.Board;
 import walkpost.lab.net.Book;
 import walkpost.lab.net.Loops;
 import walkpost.lab.net.PlayClock;
@@ -28,6 +29,8 @@
     public static final String LEDGER = "ledger.jsonl";
     /** The name of the plan in a play's folder. */
     public static final String PLAN = "plan.jsonl";
+    /** The file in which the oracle sees the true state. */
+    private static final String BOARD = "board";
     private static final int LOOPS = 2;
     private static final long READY_US = 30_000_000;
     private static final long SOON_US = 300_000;
@@ -77,18 +80,24 @@
         clock.zeroIn(READY_US);
         try (var ledger = new Ledger(folder.resolve(LEDGER)); var loops = new Loops(LOOPS);
                 var clientLoops = new Loops(LOOPS)) {
-            var stage = new Stage(scenario, plan, new Streams(plan.seed()), clock, ledger, new Book(), loops, clientLoops);
+            var stage = new Stage(scenario, plan, new Streams(plan.seed()), clock, ledger, new Book(),
+                    Board.create(folder.resolve(BOARD), places()), loops, clientLoops);
             try (var fleet = new Fleet(stage, program, folder)) {
                 play(stage, fleet);
             }
         }
     }
 
-    private void play(Stage stage, Fleet fleet) {
+    private int places() {
+        return 1 + plan.servers().stream().mapToInt(Plan.Server::place).max().orElse(0);
+    }
+
+    private void play(Stage stage, Fleet fleet) throws IOException {
         for (int proxy = 0; proxy < scenario.fleet().proxies(); proxy++) {
             fleet.start(proxy);
         }
         fleet.watch();
+        Rehearsal.run(stage, folder);
         awaitReady(stage, fleet);
         stage.clock().zeroIn(SOON_US);
         stage.ledger().note(new Seen.Begun(0, scenario.name(), plan.seed(), stage.clock().zeroUnixMs(), program.name()));
@@ -109,7 +118,7 @@
         long longest = scenario.classes().stream().mapToLong(Scenario.RequestClass::deadlineUs).max().orElse(0);
         long end = scenario.lengthUs() + longest + LAST_US;
         try {
-            while (!stopped && stage.clock().now() < end) {
+            while (!stopped && stage.clock().now() < end && !(stage.clock().now() > scenario.lengthUs() && fleet.clients().allDone())) {
                 boolean waits = faults.look();
                 timeline.run(stage.clock().now());
                 long left = (Math.min(timeline.nextUs(), end) - stage.clock().now()) * 1_000;
--- a/lab/src/main/java/walkpost/lab/process/Program.java
+++ b/lab/src/main/java/walkpost/lab/process/Program.java
@@ -5,7 +5,10 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
+import walkpost.lab.baseline.PlainMain;
+import walkpost.lab.baseline.Wrong;
 
 /**
  * A version of the program: the command that starts one proxy, and the folder it is started in.
@@ -13,12 +16,41 @@
  * @param name what the report calls it
  */
 public record Program(String name, Path folder, List<String> command) {
+    private static final String PLAIN = "plain:";
     private static final String DEPLOY = "deploy/balancer.toml";
 
     public Program {
         command = List.copyOf(command);
     }
 
+    /** Returns the lab's own plain proxy, with a choice by its name, and what it does wrong, or null. */
+    public static Program plain(String choice, Wrong wrong) {
+        var command = new ArrayList<>(List.of(ProcessHandle.current().info().command().orElse("java"), "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1", "-Xshare:auto", "-Xmx64m", "-cp", System.getProperty("java.class.path"),
+                PlainMain.class.getName(), choice));
+        if (wrong != null) {
+            command.add(wrong.name());
+        }
+        return new Program("plain:" + choice + (wrong == null ? "" : "/" + wrong), Path.of("").toAbsolutePath(), command);
+    }
+
+    /**
+     * Returns the program that a word stands for: {@code plain:CHOICE}, or the folder of a built checkout.
+     *
+     * @throws IOException if it is neither
+     */
+    public static Program named(String word) throws IOException {
+        if (word.startsWith(PLAIN)) {
+            String choice = word.substring(PLAIN.length());
+            if (!PlainMain.CHOICES.contains(choice)) {
+                throw new IOException("'" + word + "': no such choice, expected one of " + PlainMain.CHOICES);
+            }
+            return plain(choice, null);
+        }
+        Path root = Path.of(word).toAbsolutePath().normalize();
+        return ofCheckout(root.getFileName().toString(), root);
+    }
+
     /**
      * Returns the program of a checkout that is built, started as the platform starts it: by {@code run} in its deploy
      * file, from its root.
--- a/lab/src/main/java/walkpost/lab/process/ProxyProcess.java
+++ b/lab/src/main/java/walkpost/lab/process/ProxyProcess.java
@@ -12,6 +12,7 @@
 import java.util.function.LongFunction;
 import java.util.stream.Stream;
 import walkpost.lab.ledger.Seen;
+import walkpost.lab.net.Board;
 import walkpost.lab.net.Stage;
 
 /**
@@ -60,7 +61,8 @@
         Files.writeString(config, settings.apply(seed).toString());
         expected = false;
         child = Child.start(program, number, Map.of("PROXY_NAME", "n" + number, "PROXY_LISTEN", text(address), "PROXY_CONFIG",
-                config.toString(), "TMPDIR", temp.toString()), log);
+                config.toString(), "TMPDIR", temp.toString(), Board.VARIABLE,
+                folder.getParent().resolve("board").toString()), log);
         note(Seen.Life.STARTED, "pid " + child.pid());
         Child started = child;
         child.ended().thenAccept(status -> note(Seen.Life.ENDED, expected ? "status " + status
--- a/lab/src/main/java/walkpost/lab/server/TileServer.java
+++ b/lab/src/main/java/walkpost/lab/server/TileServer.java
@@ -101,11 +101,14 @@
         return machine.cores() * machine.speed() * warmth(atUs);
     }
 
-    /** Returns how long a request of no wait would take now, at what is in hand: for those who may know the truth. */
-    double expectedUs(double workUs) {
-        double inHand = room.stream().mapToDouble(j -> j.leftUs).sum()
-                + working.stream().mapToDouble(j -> j.doneAt - given).sum();
-        return (inHand + workUs) * slowness / capacity(now);
+    /** Returns the work that is in hand, in microseconds on a standard core: for those who may know the truth. */
+    double inHandUs() {
+        return room.stream().mapToDouble(j -> j.leftUs).sum() + working.stream().mapToDouble(j -> j.doneAt - given).sum();
+    }
+
+    /** Returns what it can really do in a microsecond, trouble and all. */
+    double trueCapacity() {
+        return fallen ? 0 : capacity(now) / slowness;
     }
 
     /** Returns whether it has been pushed over; it does nothing any more. */
--- a/lab/src/main/java/walkpost/lab/server/TileServerStand.java
+++ b/lab/src/main/java/walkpost/lab/server/TileServerStand.java
@@ -27,6 +27,9 @@
  * replaced leaves its place to the next. All calls are made on its event loop, which owns all of it.
  */
 public final class TileServerStand {
+    /** Whoever fails more than this is of no use to the oracle. */
+    private static final double MOST_ERRORS = 0.1;
+
     private final Stage stage;
     private final EventLoop loop;
     private final int place;
@@ -39,6 +42,7 @@
     private TileServer model;
     private boolean draining;
     private boolean warm;
+    private boolean cut;
     private double slowness = 1;
     private double errors;
     private ScheduledFuture<?> wake;
@@ -93,6 +97,7 @@
         errors = kind.errors();
         note(cold ? Seen.State.COLD : Seen.State.UP);
         doors.forEach(Door::open);
+        show();
     }
 
     /** Ends the machine: its connections are reset, and new ones refused. */
@@ -106,6 +111,7 @@
 
     private void down() {
         model = null;
+        show();
         doors.forEach(Door::close);
         for (ServerConnection connection : List.copyOf(connections)) {
             connection.reset();
@@ -116,6 +122,7 @@
     /** Completes what it holds; all else is turned away. */
     public void drain() {
         draining = true;
+        show();
         note(Seen.State.DRAINING);
     }
 
@@ -136,11 +143,13 @@
     /** Nothing passes to or from proxies any more, or only to them not; or all again. */
     public void silence(boolean towards, boolean back) {
         links.forEach(l -> l.silence(towards, back));
+        cut = towards || back;
         if (towards) {
             doors.forEach(Door::deafen);
         } else if (model != null) {
             doors.forEach(Door::open);
         }
+        show();
     }
 
     /** Resets the connection at a part of the way through those open. */
@@ -154,16 +163,6 @@
         return server;
     }
 
-    /** Returns what an idle observer who knows the truth expects a request to take, or a day where it can't be served. */
-    public double expectedUs(double workUs) {
-        if (model == null || draining || model.fallen() || errors > 0.1) {
-            return TimeUnit.DAYS.toMicros(1);
-        }
-        model.advance(now());
-        settle();
-        return model.expectedUs(workUs);
-    }
-
     /** Notes what the machine here has done so far. */
     public void noteUse() {
         if (model != null) {
@@ -249,9 +248,16 @@
             down();
         } else {
             wakeAt(model.nextUs());
+            show();
         }
     }
 
+    /** Shows the oracle what is true here; it serves nothing well where it drains, is cut off or fails many. */
+    private void show() {
+        boolean useful = model != null && !draining && !cut && errors <= MOST_ERRORS;
+        stage.board().put(place, server.id(), useful ? model.inHandUs() : 0, useful ? model.trueCapacity() : 0);
+    }
+
     private void wakeAt(long at) {
         if (at == wakesAt) {
             return;
--- a/lab/src/main/java/walkpost/lab/verdict/Verdict.java
+++ b/lab/src/main/java/walkpost/lab/verdict/Verdict.java
@@ -30,8 +30,16 @@
     /** The verdict in a word. */
     public enum Word { KEPT, BROKEN, LATE }
 
-    /** Judges a play by its record. */
+    /** Judges a play by its record; of one that ran late nothing is told. */
     public static Verdict of(Scenario scenario, Plan plan, LedgerReader.Record record) {
+        Verdict judged = judged(scenario, plan, record);
+        boolean late = judged.lateP99Us() > MOST_LATE_US || judged.heldUs() > MOST_HELD_US;
+        return !late ? judged : new Verdict(Word.LATE, judged.cut(), judged.scenario(), judged.seed(), judged.program(),
+                judged.figures(), List.of(), List.of(), judged.lateP99Us(), judged.heldUs(), judged.labCpuMs());
+    }
+
+    /** Judges a play by its record, late or not: for plays in which nothing turns on time. */
+    public static Verdict judged(Scenario scenario, Plan plan, LedgerReader.Record record) {
         var evidence = new Evidence(scenario, plan, record);
         var breaks = new ArrayList<Break>();
         new RequestRules(evidence, breaks::add).check();
@@ -47,10 +55,9 @@
                 .orElse(new Seen.Finished(0, false, -1, -1, -1));
         String program = record.seen().stream().filter(s -> s instanceof Seen.Begun).map(s -> ((Seen.Begun) s).program()).findFirst()
                 .orElse("?");
-        boolean late = end.lateP99Us() > MOST_LATE_US || end.heldUs() > MOST_HELD_US;
-        Word word = late ? Word.LATE : breaks.isEmpty() && unmet.isEmpty() ? Word.KEPT : Word.BROKEN;
+        Word word = breaks.isEmpty() && unmet.isEmpty() ? Word.KEPT : Word.BROKEN;
         return new Verdict(word, record.cut() || !end.whole(), scenario.name(), plan.seed(), program, figures,
-                late ? List.of() : List.copyOf(breaks), late ? List.of() : List.copyOf(unmet), end.lateP99Us(), end.heldUs(),
+                List.copyOf(breaks), List.copyOf(unmet), end.lateP99Us(), end.heldUs(),
                 end.labCpuMs());
     }
 
--- a/lab/src/test/java/walkpost/lab/discovery/RegistryTest.java
+++ b/lab/src/test/java/walkpost/lab/discovery/RegistryTest.java
@@ -50,4 +50,12 @@
         assertThat(queue.expired(1_000)).isEqualTo("second");
         assertThat(queue.nextUs()).isEqualTo(Long.MAX_VALUE);
     }
+
+    @Test
+    void aCallBeforeThePlaysZeroIsServedAtOnce() {
+        var queue = new CallQueue<String>(100, 10, 1_000);
+        queue.add(-30_000_000, "early");
+        assertThat(queue.next(-30_000_000)).isEqualTo("early");
+        assertThat(queue.serve(-30_000_000, 0)).isEqualTo(-29_999_900);
+    }
 }
