Compare, report, load and start costs in the lab; tests of several real processes with faults

Need: proof in pairs, a page that people can read, and tests with a kill, a stop and a cut between real processes. Cause mended: plays side by side put all their first proxies on one core, where a keyed repeat took 1.9 s; they spread now. The checker held a request's later attempts against an earlier close; found by VerdictTest.

--- a/app/src/main/java/walkpost/app/LabCommand.java
+++ b/app/src/main/java/walkpost/app/LabCommand.java
@@ -27,7 +27,8 @@
 
 /** {@code walkpost lab}: experiments on a fleet of real processes. */
 @Command(name = "lab", mixinStandardHelpOptions = true, description = "Experiments on a whole fleet of real processes.",
-        subcommands = {LabCommand.Run.class, LabCommand.Check.class, LabCommand.ListScenarios.class})
+        subcommands = {LabCommand.Run.class, LabSides.Compare.class, LabSides.Baselines.class, LabSides.Start.class, LabCommand.Load.class,
+            LabCommand.Check.class,             LabCommand.Report.class, LabCommand.ListScenarios.class})
 final class LabCommand implements Callable<Integer> {
     /** So many broken rules are told one by one; the result holds them all. */
     private static final int TOLD = 10;
@@ -56,6 +57,23 @@
         return Files.exists(file) || name.endsWith(".toml") ? file : scenarios().resolve(name + ".toml");
     }
 
+    static String name(Path scenario) {
+        return scenario.getFileName().toString().replace(".toml", "");
+    }
+
+    /** Returns a folder that is not there yet, for the records of what is done now. */
+    static Path newFolder(String of) {
+        return Path.of("lab-out", of + "-" + LocalDateTime.now().format(DateTimeFormatter.ofPattern("MMdd-HHmmss")));
+    }
+
+    PrintWriter out() {
+        return spec.commandLine().getOut();
+    }
+
+    PrintWriter err() {
+        return spec.commandLine().getErr();
+    }
+
     static int told(PrintWriter out, Verdict verdict) {
         for (Break broken : verdict.breaks().subList(0, Math.min(TOLD, verdict.breaks().size()))) {
             out.printf(Locale.ROOT, "broken: %s at %.3f s%s%s: %s%n", broken.rule().name().toLowerCase(Locale.ROOT), broken.t() / 1e6,
@@ -94,17 +112,48 @@
 
         @Override
         public Integer call() throws IOException {
-            PrintWriter terminal = lab.spec.commandLine().getOut();
+            PrintWriter terminal = lab.out();
             try {
                 Path scenario = scenario(file);
-                Path folder = out != null ? out : Path.of("lab-out", scenario.getFileName().toString().replace(".toml", "") + "-" + seed
-                        + "-" + LocalDateTime.now().format(DateTimeFormatter.ofPattern("MMdd-HHmmss")));
+                Path folder = out != null ? out : newFolder(name(scenario) + "-" + seed);
                 Verdict verdict = Lab.run(scenario, seed, Program.named(program == null ? root().toString() : program),
                         folder.toAbsolutePath(), progress(terminal));
                 terminal.println("records: " + folder);
                 return told(terminal, verdict);
             } catch (BadScenario e) {
-                lab.spec.commandLine().getErr().println("walkpost: " + e.getMessage());
+                lab.err().println("walkpost: " + e.getMessage());
+                return ExitStatus.USAGE;
+            }
+        }
+    }
+
+    @Command(name = "load", mixinStandardHelpOptions = true, description = "Sends a load straight to tile servers, to see what the lab "
+            + "itself bears on this machine.")
+    static final class Load implements Callable<Integer> {
+        @ParentCommand
+        private LabCommand lab;
+        @Option(names = "--rate", paramLabel = "N", defaultValue = "5000", description = "requests a second (${DEFAULT-VALUE})")
+        private int rate;
+        @Option(names = "--length", paramLabel = "SECONDS", defaultValue = "60", description = "(${DEFAULT-VALUE})")
+        private int seconds;
+        @Option(names = "--servers", paramLabel = "N", defaultValue = "50", description = "(${DEFAULT-VALUE})")
+        private int servers;
+        @Option(names = "--seed", paramLabel = "N", defaultValue = "1", description = "(${DEFAULT-VALUE})")
+        private long seed;
+        @Option(names = "--out", paramLabel = "DIR", description = "a new folder for all records (lab-out/load-TIME)")
+        private Path out;
+
+        @Override
+        public Integer call() throws IOException {
+            try {
+                Path folder = out == null ? newFolder("load") : out;
+                Verdict verdict = Lab.load(rate, seconds, servers, seed, folder.toAbsolutePath(), progress(lab.out()));
+                lab.out().printf(Locale.ROOT, "the lab: sent up to %.2f ms late (p99), a loop held up for %.1f ms at most, "
+                        + "%.0f us of CPU a request%n", verdict.lateP99Us() / 1e3, verdict.heldUs() / 1e3,
+                        verdict.labCpuMs() * 1e3 / Math.max(1, verdict.figures().requests()));
+                return told(lab.out(), verdict);
+            } catch (BadScenario e) {
+                lab.err().println("walkpost: " + e.getMessage());
                 return ExitStatus.USAGE;
             }
         }
@@ -139,9 +188,29 @@
         @Override
         public Integer call() throws IOException {
             try {
-                return told(lab.spec.commandLine().getOut(), Lab.judge(folder));
+                return told(lab.out(), Lab.judge(folder));
+            } catch (BadScenario e) {
+                lab.err().println("walkpost: " + e.getMessage());
+                return ExitStatus.USAGE;
+            }
+        }
+    }
+
+    @Command(name = "report", mixinStandardHelpOptions = true, description = "Writes a recorded play as one page that opens without a "
+            + "network.")
+    static final class Report implements Callable<Integer> {
+        @ParentCommand
+        private LabCommand lab;
+        @Parameters(index = "0", paramLabel = "DIR", description = "the folder of a play")
+        private Path folder;
+
+        @Override
+        public Integer call() throws IOException {
+            try {
+                lab.out().println(Lab.report(folder));
+                return ExitStatus.FINE;
             } catch (BadScenario e) {
-                lab.spec.commandLine().getErr().println("walkpost: " + e.getMessage());
+                lab.err().println("walkpost: " + e.getMessage());
                 return ExitStatus.USAGE;
             }
         }
@@ -162,11 +231,11 @@
             for (Path file : files) {
                 try {
                     Scenario scenario = ScenarioReader.read(file);
-                    lab.spec.commandLine().getOut().printf(Locale.ROOT, "%-18s %3d proxies %4d servers %5.0f/s %4d s  %s%n",
+                    lab.out().printf(Locale.ROOT, "%-18s %3d proxies %4d servers %5.0f/s %4d s  %s%n",
                             scenario.name(), scenario.fleet().proxies(), scenario.servers(), scenario.load().rate(),
                             scenario.lengthUs() / 1_000_000, scenario.about());
                 } catch (BadScenario e) {
-                    lab.spec.commandLine().getErr().println("walkpost: " + e.getMessage());
+                    lab.err().println("walkpost: " + e.getMessage());
                     status = ExitStatus.USAGE;
                 }
             }
--- a/app/src/main/java/walkpost/app/Main.java
+++ b/app/src/main/java/walkpost/app/Main.java
@@ -18,7 +18,7 @@
     /** Every command; each is told in its own class. */
     @Command(name = "walkpost", mixinStandardHelpOptions = true, versionProvider = Version.class, sortOptions = false,
             description = "A reverse proxy for servers of unequal speed, and the lab that proves it.",
-            subcommands = {ServeCommand.class, RehearseCommand.class, DrillCommand.class, LabCommand.class,
+            subcommands = {ServeCommand.class, RehearseCommand.class, DrillCommand.class, DemoCommand.class, LabCommand.class,
                 AutoComplete.GenerateCompletion.class, HelpCommand.class},
             exitCodeListHeading = "%nExit status:%n",
             exitCodeList = {"0:fine", "1:a rule was broken", "2:usage, or a file that is wrong",
--- a/lab/src/main/java/walkpost/lab/play/Fleet.java
+++ b/lab/src/main/java/walkpost/lab/play/Fleet.java
@@ -34,13 +34,18 @@
     private final Clients clients;
     private long lives;
 
-    /** Puts the fleet together; tile servers and discovery are there, proxies are not started yet. */
+    /**
+     * Puts the fleet together; tile servers and discovery are there, proxies are not started yet.
+     *
+     * @param program null for none: clients then send straight to the tile servers, as many pools as there are places
+     */
     Fleet(Stage stage, Program program, Path folder) throws IOException {
         this.stage = stage;
-        int count = stage.scenario().fleet().proxies();
+        boolean direct = program == null;
+        int count = direct ? 0 : stage.scenario().fleet().proxies();
         int places = 1 + stage.plan().servers().stream().mapToInt(Plan.Server::place).max().orElse(0);
         for (int place = 0; place < places; place++) {
-            var stand = new TileServerStand(stage, stage.loops().of(place), place, count);
+            var stand = new TileServerStand(stage, stage.loops().of(place), place, direct ? place : 0, direct ? 1 : count);
             Loops.run(stand.loop(), stand::reserve);
             stands.add(stand);
         }
@@ -54,7 +59,7 @@
             }
         }
         Loops.run(loop, () -> discovery.begin(entries));
-        front = new Front(count, stage.scenario().front().noticeUs());
+        front = new Front(direct ? places : count, stage.scenario().front().noticeUs());
         for (int number = 0; number < count; number++) {
             var proxy = new ProxyProcess(stage, program, number, folder);
             proxies.add(proxy);
@@ -62,7 +67,12 @@
             known.add(Loops.on(loop, () -> discovery.known(of)));
             watches.add(new ReadyWatch(stage, front, number, proxy.address()));
         }
-        clients = new Clients(stage, front, proxies.stream().map(ProxyProcess::address).toList());
+        var addresses = new ArrayList<>(proxies.stream().map(ProxyProcess::address).toList());
+        for (int place = 0; direct && place < places; place++) {
+            addresses.add(stands.get(place).address(place));
+            front.asked(0, place, true);
+        }
+        clients = new Clients(stage, front, addresses);
     }
 
     /** Returns a server's line of the list. */
--- a/lab/src/main/java/walkpost/lab/process/ProxyProcess.java
+++ b/lab/src/main/java/walkpost/lab/process/ProxyProcess.java
@@ -20,6 +20,9 @@
  * the play's thread alone, but for the note of a process's end.
  */
 public final class ProxyProcess {
+    /** Plays that go on at the same time begin at different cores. */
+    private static final int SPREAD = 97;
+
     private final Stage stage;
     private final Program program;
     private final int number;
@@ -60,7 +63,8 @@
         Path config = folder.resolve("config.json");
         Files.writeString(config, settings.apply(seed).toString());
         expected = false;
-        child = Child.start(program, number, Map.of("PROXY_NAME", "n" + number, "PROXY_LISTEN", text(address), "PROXY_CONFIG",
+        int core = number + Math.floorMod(folder.getParent().hashCode(), SPREAD);
+        child = Child.start(program, core, Map.of("PROXY_NAME", "n" + number, "PROXY_LISTEN", text(address), "PROXY_CONFIG",
                 config.toString(), "TMPDIR", temp.toString(), Board.VARIABLE,
                 folder.getParent().resolve("board").toString()), log);
         note(Seen.Life.STARTED, "pid " + child.pid());
--- /dev/null
+++ b/lab/src/main/java/walkpost/lab/stats/package-info.java
@@ -0,0 +1,2 @@
+/** What can be said of plays in pairs. */
+package walkpost.lab.stats;
--- a/lab/src/main/java/walkpost/lab/verdict/RequestRules.java
+++ b/lab/src/main/java/walkpost/lab/verdict/RequestRules.java
@@ -44,7 +44,7 @@
             broken(Rule.ANSWER, history.answered.get(1).t(), asked, id, "answered " + history.answered.size() + " times");
         }
         for (Seen.Closed closed : history.closed) {
-            List<Attempt> attempts = history.through(closed.proxy());
+            List<Attempt> attempts = history.through(closed.proxy()).stream().filter(a -> a.arrived.t() <= closed.t()).toList();
             if (evidence.excused(closed.proxy(), asked.t(), closed.t() + SLACK_US)) {
                 continue;
             }
--- /dev/null
+++ b/lab/src/test/java/walkpost/lab/verdict/VerdictTest.java
@@ -0,0 +1,233 @@
+package walkpost.lab.verdict;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import walkpost.lab.ledger.LedgerReader;
+import walkpost.lab.ledger.Seen;
+import walkpost.lab.ledger.Seen.Life;
+import walkpost.lab.scenario.Plan;
+import walkpost.lab.scenario.Planner;
+import walkpost.lab.scenario.Scenario;
+import walkpost.lab.scenario.ScenarioReader;
+import walkpost.lab.verdict.Break.Rule;
+
+/** Ledgers made up by hand: what crosses, what a fault explains, and what was cut off. Planted faults are in real processes. */
+final class VerdictTest {
+    private static final long MS = 1_000;
+    private static final long BODY = 77;
+
+    private final List<Seen> seen = new ArrayList<>();
+    private Scenario scenario;
+    private Plan plan;
+    private String id;
+    private String server;
+
+    @BeforeEach
+    void play() throws Exception {
+        scenario = ScenarioReader.parse("""
+                name = "hand"
+                about = "a ledger made up by hand"
+                length = "4s"
+                [fleet]
+                proxies = 2
+                [[servers]]
+                kind = "box"
+                count = 2
+                speed = 1
+                cold_from = 0.2
+                cold = "10s"
+                [[classes]]
+                name = "tile-view"
+                share = 1
+                work = "10ms"
+                waits = "0ms"
+                aim = "200ms"
+                deadline = "1s"
+                worth = 1
+                effect = "safe"
+                [load]
+                rate = 5
+                [clients]
+                retries = 0
+                patience = 1.0
+                [rules]
+                cold_from = 0.2
+                cold = "10s"
+                """);
+        plan = Planner.plan(scenario, 1);
+        id = plan.arrivals().get(0).tries().get(0).id();
+        server = plan.servers().get(0).id();
+    }
+
+    private void asked(long t, boolean fresh) {
+        seen.add(new Seen.Asked(t, 0, 0, id, t, 0, 1, fresh, 10 * MS, 1_000 * MS, 5));
+    }
+
+    private void arrived(long t, long attempt, String at) {
+        seen.add(new Seen.Arrived(t, t, attempt, id, 0, at, 9, 5));
+    }
+
+    private void served(long t, long attempt, long body) {
+        seen.add(new Seen.Replied(t, attempt, id, server, Seen.End.SERVED, body));
+    }
+
+    private void answered(long t, int status, long body) {
+        seen.add(new Seen.Answered(t, id, 0, status, body, -1));
+    }
+
+    private void proxy(long t, Life life) {
+        seen.add(new Seen.ProxyIs(t, 0, life, ""));
+    }
+
+    private Verdict verdict(boolean finished) {
+        if (finished) {
+            seen.add(new Seen.Finished(6_000 * MS, true, 100, 100, 100));
+        }
+        return Verdict.of(scenario, plan, LedgerReader.Record.of(seen));
+    }
+
+    private List<Rule> broken() {
+        return verdict(true).breaks().stream().map(Break::rule).toList();
+    }
+
+    @Test
+    void anAnswerThatCrossesTheClientsLeavingIsOneAnswer() {
+        asked(0, true);
+        arrived(5 * MS, 1, server);
+        served(990 * MS, 1, BODY);
+        seen.add(new Seen.Left(1_000 * MS, id, 0));
+        answered(1_001 * MS, 200, BODY);
+        assertThat(broken()).isEmpty();
+    }
+
+    @Test
+    void aProxyKilledBetweenTheServersAnswerAndTheClientsHasLostNothing() {
+        asked(0, false);
+        arrived(5 * MS, 1, server);
+        served(20 * MS, 1, BODY);
+        proxy(21 * MS, Life.KILLED);
+        seen.add(new Seen.Closed(22 * MS, id, 0, false, false));
+        proxy(22 * MS, Life.ENDED);
+        assertThat(broken()).isEmpty();
+    }
+
+    @Test
+    void aLivingProxyThatHangsUpOnARequestItHasSentOnHasLostIt() {
+        asked(0, false);
+        arrived(5 * MS, 1, server);
+        served(20 * MS, 1, BODY);
+        seen.add(new Seen.Closed(22 * MS, id, 0, false, false));
+        assertThat(broken()).containsExactly(Rule.ANSWER);
+    }
+
+    @Test
+    void aCloseThatCrossesARequestNobodyHasReadIsNoLoss() {
+        asked(0, false);
+        seen.add(new Seen.Closed(1 * MS, id, 0, false, false));
+        asked(2 * MS, true);
+        arrived(5 * MS, 1, server);
+        served(20 * MS, 1, BODY);
+        answered(21 * MS, 200, BODY);
+        assertThat(broken()).isEmpty();
+    }
+
+    @Test
+    void noAnswerIsOwedWhileTheProxyStandsStillButIsOnceItGoesOn() {
+        proxy(-500 * MS, Life.STOPPED);
+        proxy(500 * MS, Life.CONTINUED);
+        asked(100 * MS, true);
+        seen.add(new Seen.Missed(1_600 * MS, id, 0));
+        assertThat(broken()).isEmpty();
+        seen.clear();
+        proxy(-500 * MS, Life.STOPPED);
+        proxy(50 * MS, Life.CONTINUED);
+        asked(100 * MS, true);
+        seen.add(new Seen.Missed(1_600 * MS, id, 0));
+        assertThat(broken()).containsExactly(Rule.ANSWER);
+    }
+
+    @Test
+    void aDrainBindsOnceToldAndItsTimeIsUp() {
+        seen.add(new Seen.Told(0, 0, 42, false, List.of(new Seen.Line(server, "draining", 0))));
+        asked(300 * MS, true);
+        arrived(349 * MS, 1, server);
+        served(360 * MS, 1, BODY);
+        answered(361 * MS, 200, BODY);
+        assertThat(broken()).isEmpty();
+        seen.removeIf(s -> s instanceof Seen.Arrived || s instanceof Seen.Finished);
+        arrived(351 * MS, 1, server);
+        assertThat(broken()).containsExactly(Rule.DRAIN);
+    }
+
+    @Test
+    void whoeverDoesNotAskDiscoveryIsDeemedTold() {
+        seen.add(new Seen.Listed(0, 42, server, "gone"));
+        asked(10_300 * MS, true);
+        arrived(10_400 * MS, 1, server);
+        served(10_410 * MS, 1, BODY);
+        answered(10_411 * MS, 200, BODY);
+        assertThat(broken()).containsExactly(Rule.DRAIN);
+        seen.add(new Seen.Called(5_000 * MS, 0, false));
+        assertThat(broken()).isEmpty();
+    }
+
+    @Test
+    void aColdServerIsPushedOverOnlyByThoseWhoWereToldOfItsStart() {
+        seen.add(new Seen.ServerIs(0, server, Seen.State.COLD));
+        // At the start it does a fifth of a core; three times that for a second is 0.6 s of work.
+        for (int proxy = 0; proxy < 2; proxy++) {
+            seen.add(new Seen.Pressed(100 * MS, proxy, server, 400 * MS));
+        }
+        assertThat(broken()).isEmpty();
+        seen.add(new Seen.Told(50 * MS, 0, 42, false, List.of(new Seen.Line(server, "ready", 1))));
+        assertThat(broken()).isEmpty();
+        seen.add(new Seen.Told(60 * MS, 1, 42, false, List.of(new Seen.Line(server, "ready", 1))));
+        assertThat(broken()).containsExactly(Rule.COLD);
+    }
+
+    @Test
+    void aLedgerCutOffIsJudgedUpToTheCutAndSaysSo() {
+        asked(0, true);
+        arrived(5 * MS, 1, server);
+        served(20 * MS, 1, BODY);
+        answered(21 * MS, 200, BODY + 1);
+        Verdict verdict = verdict(false);
+        assertThat(verdict.cut()).isTrue();
+        assertThat(verdict.breaks()).extracting(Break::rule).containsExactly(Rule.BODY);
+        assertThat(verdict.line()).startsWith("verdict: broken (cut off)");
+    }
+
+    @Test
+    void aLatePlayIsNotJudged() {
+        asked(0, true);
+        answered(21 * MS, 200, BODY);
+        seen.add(new Seen.Finished(6_000 * MS, true, 5 * MS, 100, 100));
+        Verdict verdict = Verdict.of(scenario, plan, LedgerReader.Record.of(seen));
+        assertThat(verdict.word()).isEqualTo(Verdict.Word.LATE);
+        assertThat(verdict.breaks()).isEmpty();
+    }
+
+    @Test
+    void whatIsServedWithinItsAimIsTheWholeWorthAndWhatIsLateIsNone() {
+        plan.arrivals().forEach(a -> {
+            String each = a.tries().get(0).id();
+            int number = plan.arrivals().indexOf(a);
+            long latency = number % 2 == 0 ? 100 * MS : 300 * MS;
+            seen.add(new Seen.Asked(a.dueUs(), number, 0, each, a.dueUs(), 0, 1, true, 10 * MS, 1_000 * MS, 5));
+            seen.add(new Seen.Arrived(a.dueUs() + MS, a.dueUs() + MS, number, each, 0, server, 9, 5));
+            seen.add(new Seen.Replied(a.dueUs() + latency, number, each, server, Seen.End.SERVED, BODY));
+            seen.add(new Seen.Answered(a.dueUs() + latency, each, 0, 200, BODY, -1));
+        });
+        Figures figures = verdict(true).figures();
+        double half = (plan.arrivals().size() + 1) / 2 / (double) plan.arrivals().size();
+        assertThat(figures.served()).isCloseTo(half, within(1e-9));
+        assertThat(figures.whole()).isCloseTo(half, within(1e-9));
+        assertThat(figures.late()).isCloseTo(1 - half, within(1e-9));
+        assertThat(figures.prices().get("late_fail")).isCloseTo(0.076 * (1 - half), within(1e-9));
+    }
+}
