--- a/lab/src/main/java/walkpost/lab/scenario/Planner.java
+++ b/lab/src/main/java/walkpost/lab/scenario/Planner.java
@@ -144,6 +144,7 @@
     private double rate(long t) {
         Scenario.Load load = scenario.load();
         double rate = load.rate() * (1 + load.swing() * Math.sin(2 * Math.PI * t / Math.max(1, load.swingUs())));
+        rate *= load.rampUs() > 0 ? Math.min(1, (double) t / load.rampUs()) : 1;
         for (Scenario.Fault fault : scenario.faults()) {
             if (fault.act() == Act.BURST && t >= fault.when().atUs() && t < fault.when().atUs() + fault.lengthUs()) {
                 rate *= fault.times();
--- a/lab/src/main/java/walkpost/lab/scenario/Scenario.java
+++ b/lab/src/main/java/walkpost/lab/scenario/Scenario.java
@@ -75,8 +75,9 @@
      * @param burst how many arrive together on average; 1 is a Poisson process
      * @param swing the rate goes up and down by this part of itself
      * @param swingUs the time from crest to crest
+     * @param rampUs the rate rises evenly for so long: a fleet all of whose code is cold takes many times the CPU
      */
-    public record Load(double rate, double burst, double swing, long swingUs) { }
+    public record Load(double rate, double burst, double swing, long swingUs, long rampUs) { }
 
     /**
      * How clients behave.
--- a/lab/src/main/java/walkpost/lab/scenario/ScenarioReader.java
+++ b/lab/src/main/java/walkpost/lab/scenario/ScenarioReader.java
@@ -199,7 +199,7 @@
 
     private static Scenario.Load load(Table t) throws BadScenario {
         var load = new Scenario.Load(t.number("rate", 0.1, 100_000), t.number("burst", 1, 1_000, 1),
-                t.number("swing", 0, 0.95, 0), t.duration("swing_period", 20 * SECOND));
+                t.number("swing", 0, 0.95, 0), t.duration("swing_period", 20 * SECOND), t.duration("ramp", 0));
         t.done();
         return load;
     }
--- a/lab/src/test/java/walkpost/lab/scenario/PlannerTest.java
+++ b/lab/src/test/java/walkpost/lab/scenario/PlannerTest.java
@@ -54,6 +54,13 @@
         assertThat(work).isCloseTo(20_000, within(1_000.0));
     }
 
+    @Test
+    void theRateRisesEvenlyWhileItIsRampedUp() throws Exception {
+        Plan plan = plan(ScenarioReaderTest.SMALL.replace("10s", "100s").replace("rate = 100", "rate = 100\nramp = \"40s\""), 3);
+        assertThat(plan.arrivals().stream().filter(a -> a.dueUs() < 20_000_000).count()).isBetween(450L, 550L);
+        assertThat(plan.arrivals().stream().filter(a -> a.dueUs() >= 80_000_000).count()).isBetween(1_880L, 2_120L);
+    }
+
     @Test
     void aBurstIsDrawnIntoTheArrivals() throws Exception {
         Plan plan = plan(ScenarioReaderTest.SMALL + "[[faults]]\nact = \"burst\"\nat = \"4s\"\nlength = \"2s\"\ntimes = 3\n", 3);
