--- a/app/src/main/java/walkpost/app/LabCommand.java
+++ b/app/src/main/java/walkpost/app/LabCommand.java
@@ -27,7 +27,7 @@
 
 /** {@code walkpost lab}: experiments on a fleet of real processes. */
 @Command(name = "lab", mixinStandardHelpOptions = true, description = "Experiments on a whole fleet of real processes.",
-        subcommands = {LabCommand.Run.class, LabSides.Compare.class, LabSides.Baselines.class, LabSides.Start.class, LabCommand.Load.class,
+        subcommands = {LabCommand.Run.class, LabSides.Compare.class, LabSides.Baselines.class, LabSides.Start.class, LabSides.Cost.class, LabCommand.Load.class,
             LabCommand.Check.class,             LabCommand.Report.class, LabCommand.ListScenarios.class})
 final class LabCommand implements Callable<Integer> {
     /** So many broken rules are told one by one; the result holds them all. */
--- a/app/src/main/java/walkpost/app/LabSides.java
+++ b/app/src/main/java/walkpost/app/LabSides.java
@@ -12,6 +12,7 @@
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.ParentCommand;
 import walkpost.lab.Lab;
+import walkpost.lab.baseline.PlainMain;
 import walkpost.lab.play.StartCost;
 import walkpost.lab.process.Program;
 import walkpost.lab.process.Versions;
@@ -207,4 +208,50 @@
             return sorted[sorted.length / 2];
         }
     }
+
+    @Command(name = "cost", mixinStandardHelpOptions = true, description = "Plays one proxy at rising rates, and a relay that only passes "
+            + "bytes on beside it: CPU a request, and the highest rate at which 99%% are in time.")
+    static final class Cost implements Callable<Integer> {
+        private static final int FIRST = 500;
+        private static final int MOST = 16_000;
+        private static final double ENOUGH = 0.99;
+
+        @ParentCommand
+        private LabCommand lab;
+        @Option(names = "--program", paramLabel = "DIR", description = "a built checkout's folder or a commit (this one)")
+        private String program;
+
+        @Override
+        public Integer call() throws IOException {
+            Path folder = LabCommand.newFolder("cost").toAbsolutePath();
+            try {
+                Program proxy = versions().named(program == null ? LabCommand.root().toString() : program);
+                Program relay = Program.plain(PlainMain.RELAY, null);
+                double[] highest = new double[2];
+                for (int rate = FIRST; rate <= MOST; rate *= 2) {
+                    double[] cost = new double[2];
+                    for (int side = 0; side < 2; side++) {
+                        if (rate > FIRST && highest[side] < rate / 2) {
+                            continue;
+                        }
+                        Lab.Cost one = Lab.cost(side == 0 ? relay : proxy, rate, folder.resolve(rate + (side == 0 ? "-relay" : "-proxy")));
+                        cost[side] = one.cpuUs();
+                        highest[side] = one.verdict().figures().lastServed() >= ENOUGH ? rate : highest[side];
+                        lab.out().printf(Locale.ROOT, "%-14s %6d/s  %5.0f us of CPU a request  in time %.4f  sent %.2f ms late (p99)%n",
+                                side == 0 ? "relay" : proxy.name(), rate, one.cpuUs(), one.verdict().figures().lastServed(),
+                                one.verdict().lateP99Us() / 1e3);
+                    }
+                    if (cost[0] > 0 && cost[1] > 0) {
+                        lab.out().printf(Locale.ROOT, "%21d/s  ratio %.2f%n", rate, cost[1] / cost[0]);
+                    }
+                }
+                lab.out().printf(Locale.ROOT, "highest rate with 99%% in time: relay %.0f/s, %s %.0f/s, ratio %.2f%n", highest[0], proxy.name(),
+                        highest[1], highest[1] / highest[0]);
+                return ExitStatus.FINE;
+            } catch (BadScenario e) {
+                lab.err().println("walkpost: " + e.getMessage());
+                return ExitStatus.USAGE;
+            }
+        }
+    }
 }
--- a/lab/src/main/java/walkpost/lab/Lab.java
+++ b/lab/src/main/java/walkpost/lab/Lab.java
@@ -6,9 +6,11 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import java.util.stream.Stream;
 import walkpost.lab.ledger.LedgerReader;
+import walkpost.lab.ledger.Seen;
 import walkpost.lab.play.Play;
 import walkpost.lab.process.Program;
 import walkpost.lab.report.Report;
@@ -59,6 +61,8 @@
             worth = 1
             effect = "safe"
             """;
+    private static final int COST_S = 16;
+    private static final int COST_SERVERS = 40;
     /** A play that is stopped ends its processes and is judged within so long. */
     private static final long STOP_MS = 8_000;
     private static final ObjectMapper JSON = new ObjectMapper();
@@ -128,6 +132,34 @@
         }
     }
 
+    /** What one proxy used at a rate: CPU a request in the second half, when its code is warm, in microseconds. */
+    public record Cost(double cpuUs, Verdict verdict) { }
+
+    /**
+     * Plays one proxy before servers with room to spare, at a steady rate.
+     *
+     * @throws IOException if the folder can't be used, or the program not be started
+     */
+    public static Cost cost(Program program, int rate, Path out) throws BadScenario, IOException {
+        Path file = Files.createTempFile("cost", ".toml");
+        try {
+            Files.writeString(file, String.format(java.util.Locale.ROOT, LOAD, rate, COST_S, rate, COST_SERVERS));
+            Verdict verdict = run(file, 1, program, out, (part, what) -> { });
+            List<Seen.Used> used = LedgerReader.read(out.resolve(Play.LEDGER)).seen().stream()
+                    .filter(s -> s instanceof Seen.Used u && u.t() >= COST_S / 2 * 1_000_000L - 100_000).map(s -> (Seen.Used) s).toList();
+            if (used.size() < 2) {
+                throw new IOException(out + ": the proxy did not live to be measured");
+            }
+            Seen.Used from = used.get(0);
+            Seen.Used to = used.get(used.size() - 1);
+            long requests = verdict.figures().windows().stream()
+                    .filter(w -> w.fromS() * 1e6 >= from.t() - 5e5 && w.fromS() * 1e6 < to.t() - 5e5).mapToLong(w -> w.offered()).sum();
+            return new Cost((to.cpuMs() - from.cpuMs()) * 1e3 / Math.max(1, requests), verdict);
+        } finally {
+            Files.delete(file);
+        }
+    }
+
     /**
      * Judges a recorded play again, and writes its result anew.
      *
