Tell wrong files and folders in one place of the command line

Need: nine commands each caught a wrong scenario and told it in the same words. Behaviour as before.

--- a/app/src/main/java/walkpost/app/DemoCommand.java
+++ b/app/src/main/java/walkpost/app/DemoCommand.java
@@ -22,19 +22,14 @@
     private CommandSpec spec;
 
     @Override
-    public Integer call() throws IOException {
+    public Integer call() throws BadScenario, IOException {
         PrintWriter out = spec.commandLine().getOut();
         Path folder = LabCommand.newFolder("demo").toAbsolutePath();
         out.println("Three proxies in front of eight tile servers of unequal speed, 140 requests a second.");
         out.println("After 6 s proxy 1 is killed; half a second later it is started again.");
-        try {
-            Verdict verdict = Lab.run(LabCommand.scenario("demo"), SEED, Program.named(LabCommand.root().toString()), folder,
-                    LabCommand.progress(out));
-            out.println("Plots: " + Lab.report(folder));
-            return LabCommand.told(out, verdict);
-        } catch (BadScenario e) {
-            spec.commandLine().getErr().println("walkpost: " + e.getMessage());
-            return ExitStatus.USAGE;
-        }
+        Verdict verdict = Lab.run(LabCommand.scenario("demo"), SEED, Program.named(LabCommand.root().toString()), folder,
+                LabCommand.progress(out));
+        out.println("Plots: " + Lab.report(folder));
+        return LabCommand.told(out, verdict);
     }
 }
--- a/app/src/main/java/walkpost/app/LabCommand.java
+++ b/app/src/main/java/walkpost/app/LabCommand.java
@@ -111,19 +111,14 @@
         private String program;
 
         @Override
-        public Integer call() throws IOException {
+        public Integer call() throws BadScenario, IOException {
             PrintWriter terminal = lab.out();
-            try {
-                Path scenario = scenario(file);
-                Path folder = out != null ? out : newFolder(name(scenario) + "-" + seed);
-                Verdict verdict = Lab.run(scenario, seed, Program.named(program == null ? root().toString() : program),
-                        folder.toAbsolutePath(), progress(terminal));
-                terminal.println("records: " + folder);
-                return told(terminal, verdict);
-            } catch (BadScenario e) {
-                lab.err().println("walkpost: " + e.getMessage());
-                return ExitStatus.USAGE;
-            }
+            Path scenario = scenario(file);
+            Path folder = out != null ? out : newFolder(name(scenario) + "-" + seed);
+            Verdict verdict = Lab.run(scenario, seed, Program.named(program == null ? root().toString() : program),
+                    folder.toAbsolutePath(), progress(terminal));
+            terminal.println("records: " + folder);
+            return told(terminal, verdict);
         }
     }
 
@@ -144,18 +139,13 @@
         private Path out;
 
         @Override
-        public Integer call() throws IOException {
-            try {
-                Path folder = out == null ? newFolder("load") : out;
-                Verdict verdict = Lab.load(rate, seconds, servers, seed, folder.toAbsolutePath(), progress(lab.out()));
-                lab.out().printf(Locale.ROOT, "the lab: sent up to %.2f ms late (p99), a loop held up for %.1f ms at most, "
-                        + "%.0f us of CPU a request%n", verdict.lateP99Us() / 1e3, verdict.heldUs() / 1e3,
-                        verdict.labCpuMs() * 1e3 / Math.max(1, verdict.figures().requests()));
-                return told(lab.out(), verdict);
-            } catch (BadScenario e) {
-                lab.err().println("walkpost: " + e.getMessage());
-                return ExitStatus.USAGE;
-            }
+        public Integer call() throws BadScenario, IOException {
+            Path folder = out == null ? newFolder("load") : out;
+            Verdict verdict = Lab.load(rate, seconds, servers, seed, folder.toAbsolutePath(), progress(lab.out()));
+            lab.out().printf(Locale.ROOT, "the lab: sent up to %.2f ms late (p99), a loop held up for %.1f ms at most, "
+                    + "%.0f us of CPU a request%n", verdict.lateP99Us() / 1e3, verdict.heldUs() / 1e3,
+                    verdict.labCpuMs() * 1e3 / Math.max(1, verdict.figures().requests()));
+            return told(lab.out(), verdict);
         }
     }
 
@@ -186,13 +176,8 @@
         private Path folder;
 
         @Override
-        public Integer call() throws IOException {
-            try {
-                return told(lab.out(), Lab.judge(folder));
-            } catch (BadScenario e) {
-                lab.err().println("walkpost: " + e.getMessage());
-                return ExitStatus.USAGE;
-            }
+        public Integer call() throws BadScenario, IOException {
+            return told(lab.out(), Lab.judge(folder));
         }
     }
 
@@ -205,14 +190,9 @@
         private Path folder;
 
         @Override
-        public Integer call() throws IOException {
-            try {
-                lab.out().println(Lab.report(folder));
-                return ExitStatus.FINE;
-            } catch (BadScenario e) {
-                lab.err().println("walkpost: " + e.getMessage());
-                return ExitStatus.USAGE;
-            }
+        public Integer call() throws BadScenario, IOException {
+            lab.out().println(Lab.report(folder));
+            return ExitStatus.FINE;
         }
     }
 
--- a/app/src/main/java/walkpost/app/LabSides.java
+++ b/app/src/main/java/walkpost/app/LabSides.java
@@ -54,19 +54,14 @@
         private Path out;
 
         @Override
-        public Integer call() throws IOException {
+        public Integer call() throws BadScenario, IOException {
             PrintWriter terminal = lab.out();
             Path folder = out == null ? LabCommand.newFolder("compare") : out;
             int status = ExitStatus.FINE;
-            try {
-                Program a = versions().named(first);
-                Program b = versions().named(second);
-                for (String name : scenarios) {
-                    status = Math.max(status, compare(terminal, LabCommand.scenario(name), a, b, folder));
-                }
-            } catch (BadScenario e) {
-                lab.err().println("walkpost: " + e.getMessage());
-                return ExitStatus.USAGE;
+            Program a = versions().named(first);
+            Program b = versions().named(second);
+            for (String name : scenarios) {
+                status = Math.max(status, compare(terminal, LabCommand.scenario(name), a, b, folder));
             }
             return status;
         }
@@ -120,26 +115,21 @@
         private Path out;
 
         @Override
-        public Integer call() throws IOException {
+        public Integer call() throws BadScenario, IOException {
             PrintWriter terminal = lab.out();
             Path folder = out == null ? LabCommand.newFolder("baselines") : out;
             Path scenario = LabCommand.scenario(file);
-            try {
-                var sides = new ArrayList<Program>();
-                for (String choice : BELOW) {
-                    sides.add(Program.plain(choice, null));
-                }
-                sides.add(versions().named(program == null ? LabCommand.root().toString() : program));
-                sides.add(Program.plain("oracle", null));
-                var played = new ArrayList<Verdict>();
-                for (Program side : sides) {
-                    played.add(play(terminal, scenario, seed, side, folder.resolve(side.name().replace(':', '-'))));
-                }
-                return table(terminal, played);
-            } catch (BadScenario e) {
-                lab.err().println("walkpost: " + e.getMessage());
-                return ExitStatus.USAGE;
+            var sides = new ArrayList<Program>();
+            for (String choice : BELOW) {
+                sides.add(Program.plain(choice, null));
+            }
+            sides.add(versions().named(program == null ? LabCommand.root().toString() : program));
+            sides.add(Program.plain("oracle", null));
+            var played = new ArrayList<Verdict>();
+            for (Program side : sides) {
+                played.add(play(terminal, scenario, seed, side, folder.resolve(side.name().replace(':', '-'))));
             }
+            return table(terminal, played);
         }
 
         private static int table(PrintWriter terminal, List<Verdict> played) {
@@ -171,28 +161,23 @@
         private int pairs;
 
         @Override
-        public Integer call() throws IOException {
+        public Integer call() throws BadScenario, IOException {
             Path folder = LabCommand.newFolder("start").toAbsolutePath();
-            try {
-                Program a = versions().named(first);
-                Program b = versions().named(second);
-                Scenario scenario = ScenarioReader.read(LabCommand.scenario("steady"));
-                double[][] cpu = new double[2][pairs];
-                double[][] memory = new double[2][pairs];
-                for (int pair = 0; pair < pairs; pair++) {
-                    for (int side = 0; side < 2; side++) {
-                        StartCost cost = StartCost.measure(side == 0 ? a : b, scenario, folder.resolve(pair + "-" + side));
-                        cpu[side][pair] = cost.cpuMs();
-                        memory[side][pair] = cost.memoryKb() / 1024.0;
-                    }
+            Program a = versions().named(first);
+            Program b = versions().named(second);
+            Scenario scenario = ScenarioReader.read(LabCommand.scenario("steady"));
+            double[][] cpu = new double[2][pairs];
+            double[][] memory = new double[2][pairs];
+            for (int pair = 0; pair < pairs; pair++) {
+                for (int side = 0; side < 2; side++) {
+                    StartCost cost = StartCost.measure(side == 0 ? a : b, scenario, folder.resolve(pair + "-" + side));
+                    cpu[side][pair] = cost.cpuMs();
+                    memory[side][pair] = cost.memoryKb() / 1024.0;
                 }
-                tell("CPU up to the first connection, ms", cpu, a, b);
-                tell("resident memory then, MiB", memory, a, b);
-                return ExitStatus.FINE;
-            } catch (BadScenario e) {
-                lab.err().println("walkpost: " + e.getMessage());
-                return ExitStatus.USAGE;
             }
+            tell("CPU up to the first connection, ms", cpu, a, b);
+            tell("resident memory then, MiB", memory, a, b);
+            return ExitStatus.FINE;
         }
 
         private void tell(String what, double[][] sides, Program a, Program b) {
@@ -222,36 +207,31 @@
         private String program;
 
         @Override
-        public Integer call() throws IOException {
+        public Integer call() throws BadScenario, IOException {
             Path folder = LabCommand.newFolder("cost").toAbsolutePath();
-            try {
-                Program proxy = versions().named(program == null ? LabCommand.root().toString() : program);
-                Program relay = Program.plain(PlainMain.RELAY, null);
-                double[] highest = new double[2];
-                for (int rate = FIRST; rate <= MOST; rate *= 2) {
-                    double[] cost = new double[2];
-                    for (int side = 0; side < 2; side++) {
-                        if (rate > FIRST && highest[side] < rate / 2) {
-                            continue;
-                        }
-                        Lab.Cost one = Lab.cost(side == 0 ? relay : proxy, rate, folder.resolve(rate + (side == 0 ? "-relay" : "-proxy")));
-                        cost[side] = one.cpuUs();
-                        highest[side] = one.verdict().figures().lastServed() >= ENOUGH ? rate : highest[side];
-                        lab.out().printf(Locale.ROOT, "%-14s %6d/s  %5.0f us of CPU a request  in time %.4f  sent %.2f ms late (p99)%n",
-                                side == 0 ? "relay" : proxy.name(), rate, one.cpuUs(), one.verdict().figures().lastServed(),
-                                one.verdict().lateP99Us() / 1e3);
-                    }
-                    if (cost[0] > 0 && cost[1] > 0) {
-                        lab.out().printf(Locale.ROOT, "%21d/s  ratio %.2f%n", rate, cost[1] / cost[0]);
+            Program proxy = versions().named(program == null ? LabCommand.root().toString() : program);
+            Program relay = Program.plain(PlainMain.RELAY, null);
+            double[] highest = new double[2];
+            for (int rate = FIRST; rate <= MOST; rate *= 2) {
+                double[] cost = new double[2];
+                for (int side = 0; side < 2; side++) {
+                    if (rate > FIRST && highest[side] < rate / 2) {
+                        continue;
                     }
+                    Lab.Cost one = Lab.cost(side == 0 ? relay : proxy, rate, folder.resolve(rate + (side == 0 ? "-relay" : "-proxy")));
+                    cost[side] = one.cpuUs();
+                    highest[side] = one.verdict().figures().lastServed() >= ENOUGH ? rate : highest[side];
+                    lab.out().printf(Locale.ROOT, "%-14s %6d/s  %5.0f us of CPU a request  in time %.4f  sent %.2f ms late (p99)%n",
+                            side == 0 ? "relay" : proxy.name(), rate, one.cpuUs(), one.verdict().figures().lastServed(),
+                            one.verdict().lateP99Us() / 1e3);
+                }
+                if (cost[0] > 0 && cost[1] > 0) {
+                    lab.out().printf(Locale.ROOT, "%21d/s  ratio %.2f%n", rate, cost[1] / cost[0]);
                 }
-                lab.out().printf(Locale.ROOT, "highest rate with 99%% in time: relay %.0f/s, %s %.0f/s, ratio %.2f%n", highest[0], proxy.name(),
-                        highest[1], highest[1] / highest[0]);
-                return ExitStatus.FINE;
-            } catch (BadScenario e) {
-                lab.err().println("walkpost: " + e.getMessage());
-                return ExitStatus.USAGE;
             }
+            lab.out().printf(Locale.ROOT, "highest rate with 99%% in time: relay %.0f/s, %s %.0f/s, ratio %.2f%n", highest[0], proxy.name(),
+                    highest[1], highest[1] / highest[0]);
+            return ExitStatus.FINE;
         }
     }
 }
--- a/app/src/main/java/walkpost/app/Main.java
+++ b/app/src/main/java/walkpost/app/Main.java
@@ -6,6 +6,7 @@
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.HelpCommand;
+import walkpost.lab.scenario.BadScenario;
 import walkpost.proxy.Serve;
 
 /**
@@ -80,7 +81,9 @@
     static int run(PrintWriter out, PrintWriter err, String... args) {
         var line = new CommandLine(new Walkpost()).setOut(out).setErr(err);
         line.setExecutionExceptionHandler((e, command, parsed) -> {
-            command.getErr().println("walkpost: " + e);
+            // These say all that their reader needs; anything else is a mistake of ours, and its kind is part of it.
+            boolean told = e instanceof BadScenario || e instanceof IOException && e.getMessage() != null;
+            command.getErr().println("walkpost: " + (told ? e.getMessage() : e));
             return ExitStatus.USAGE;
         });
         if (args.length == 0) {
--- a/app/src/test/java/walkpost/app/CommandLineTest.java
+++ b/app/src/test/java/walkpost/app/CommandLineTest.java
@@ -37,4 +37,10 @@
         assertThat(run("generate-completion")).isEqualTo(ExitStatus.FINE);
         assertThat(out.toString()).contains("complete -F _complete_walkpost");
     }
+
+    @Test
+    void aScenarioThatIsNotThereIsRefusedByItsName() {
+        assertThat(run("lab", "run", "no-such.toml", "--program", "plain:random")).isEqualTo(ExitStatus.USAGE);
+        assertThat(err.toString()).contains("no-such.toml: cannot be read");
+    }
 }
