Write down the design of the fleet's members, facts and orders, and its shared types

Need: proxies know nothing of each other; the operators want state that is replicated, and told apart from rumour when parts fail. Result: types only; nothing is loaded by serve.

--- /dev/null
+++ b/fleet/src/main/java/walkpost/fleet/copy/CopyAction.java
@@ -0,0 +1,35 @@
+package walkpost.fleet.copy;
+
+import java.util.List;
+import walkpost.fleet.FleetException;
+
+/** Something the owner of a {@link Shard} is to do, in the order given. */
+public sealed interface CopyAction {
+    /** Send a message to the same shard of a member; it may get lost. */
+    record Send(String to, CopyMessage message) implements CopyAction { }
+
+    /** Put these slots, and promises, on disk before anything that comes after this action; passed over without a directory. */
+    record Persist(List<Slot> slots) implements CopyAction {
+        public Persist {
+            slots = List.copyOf(slots);
+        }
+    }
+
+    /** An order is acknowledged: a majority of the configured members holds it, decided. */
+    record Acknowledged(String id, Order order) implements CopyAction { }
+
+    /** An order has failed, with the reason for its caller. */
+    record Refused(String id, FleetException why) implements CopyAction { }
+
+    /** What stands for a key is this from now on, at this level member. */
+    record Stands(Order.Key key, Acting acting) implements CopyAction { }
+
+    /** Another member's fact is new here; one withdrawn has a null payload. */
+    record Heard(Fact fact) implements CopyAction { }
+
+    /** This shard has caught up with a majority, or is not sure of it any more. */
+    record Level(boolean level) implements CopyAction { }
+
+    /** A fact has grown older than its topic's bound: what depends on it falls back. To be told in the log. */
+    record Stale(Fact.Key key, long ageUs) implements CopyAction { }
+}
--- /dev/null
+++ b/fleet/src/main/java/walkpost/fleet/copy/CopyEvent.java
@@ -0,0 +1,35 @@
+package walkpost.fleet.copy;
+
+import java.util.Map;
+
+/** Something that happened to a shard. */
+public sealed interface CopyEvent {
+    /** Time has passed; comes some 20 times a second. A gap tells that the process stood still. */
+    record Tick() implements CopyEvent { }
+
+    /** Who lives, this member apart, and the round trip to each in microseconds (an upper bound; the period where unmeasured). */
+    record Peers(Map<String, Long> roundTripUs) implements CopyEvent {
+        public Peers {
+            roundTripUs = Map.copyOf(roundTripUs);
+        }
+    }
+
+    /** A message has come from the same shard of a member. */
+    record Received(String from, CopyMessage message) implements CopyEvent { }
+
+    /** This member, the writer, has seen something; a null payload withdraws it. */
+    record Tell(String topic, String subject, String payload) implements CopyEvent { }
+
+    /**
+     * An operator's order to this member. {@code replaces} is the id of what it is to replace, empty for the first on its key, null for
+     * whatever stands, rivals included.
+     */
+    record Propose(Order.Key key, String id, String replaces, String payload) implements CopyEvent { }
+
+    /** What the directory held at the start; comes first, or never. */
+    record Restored(java.util.List<Slot> slots) implements CopyEvent {
+        public Restored {
+            slots = java.util.List.copyOf(slots);
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/walkpost/fleet/shell/FleetListener.java
@@ -0,0 +1,27 @@
+package walkpost.fleet.shell;
+
+import walkpost.fleet.copy.Acting;
+import walkpost.fleet.copy.Fact;
+import walkpost.fleet.copy.Order;
+import walkpost.fleet.member.Member;
+
+/**
+ * Who uses what the fleet knows. Called by one thread at a time, in order, on the executor that was given with it: the serving loop's
+ * part of a process hears all of it there and takes no lock.
+ */
+public interface FleetListener {
+    /** What is held of a member has changed. */
+    void member(Member member);
+
+    /** Another member's fact is new; withdrawn where its payload is null. */
+    void fact(Fact fact);
+
+    /** A fact has grown older than its topic's bound: whatever rests on it is to fall back. */
+    void stale(Fact.Key key);
+
+    /** What is to be acted on for a key. Comes only while this member is level. */
+    void stands(Order.Key key, Acting acting);
+
+    /** This member has caught up, or is not sure of it any more: then what stood last goes on. */
+    void level(boolean level);
+}
