--- a/fleet/src/main/java/walkpost/fleet/copy/CopyAction.java
+++ b/fleet/src/main/java/walkpost/fleet/copy/CopyAction.java
@@ -5,10 +5,17 @@
 
 /** Something the owner of a {@link Shard} is to do, in the order given. */
 public sealed interface CopyAction {
-    /** Send a message to the same shard of a member; it may get lost. */
+    /**
+     * Send a message to the same shard of a member; it may get lost. An owner that comes to it more than a second after the event
+     * that it came from, as it stood still, drops it: the ages of facts in it would be too low.
+     */
     record Send(String to, CopyMessage message) implements CopyAction { }
 
-    /** Put these slots, and promises, on disk before anything that comes after this action; passed over without a directory. */
+    /**
+     * Put these slots on disk before anything that comes after this action; passed over without a directory. One that is
+     * {@link Slot#none() empty} takes its key off the disk. Promises need no disk: a member makes none until one that it may have
+     * made in an earlier life has run out.
+     */
     record Persist(List<Slot> slots) implements CopyAction {
         public Persist {
             slots = List.copyOf(slots);
--- a/fleet/src/main/java/walkpost/fleet/copy/CopyEvent.java
+++ b/fleet/src/main/java/walkpost/fleet/copy/CopyEvent.java
@@ -1,5 +1,6 @@
 package walkpost.fleet.copy;
 
+import java.util.List;
 import java.util.Map;
 
 /** Something that happened to a shard. */
@@ -26,10 +27,19 @@
      */
     record Propose(Order.Key key, String id, String replaces, String payload) implements CopyEvent { }
 
-    /** What the directory held at the start; comes first, or never. */
-    record Restored(java.util.List<Slot> slots) implements CopyEvent {
+    /**
+     * What the directory held at the start; comes first, or never.
+     *
+     * @param awayUs how long the directory was not in use, by the wall clock; zero where the owner does not know
+     */
+    record Restored(List<Slot> slots, long awayUs) implements CopyEvent {
         public Restored {
-            slots = java.util.List.copyOf(slots);
+            slots = List.copyOf(slots);
+        }
+
+        /** What the directory held, not long ago. */
+        public Restored(List<Slot> slots) {
+            this(slots, 0);
         }
     }
 }
--- a/fleet/src/main/java/walkpost/fleet/copy/Fact.java
+++ b/fleet/src/main/java/walkpost/fleet/copy/Fact.java
@@ -1,5 +1,7 @@
 package walkpost.fleet.copy;
 
+import java.util.Objects;
+
 /**
  * An entry with one writer: the member it is about, or that saw it. Of two facts with one key the one with the higher (incarnation,
  * version) holds; should a faulty writer give two payloads one version, the greater payload does, everywhere.
@@ -11,6 +13,16 @@
  *     each hop as an upper bound of the way. Part of no comparison
  */
 public record Fact(Key key, long incarnation, long version, String payload, long ageUs) {
+    public Fact {
+        Objects.requireNonNull(key, "key");
+    }
+
     /** What a fact is about, and who says so. */
-    public record Key(String topic, String subject, String writer) { }
+    public record Key(String topic, String subject, String writer) {
+        public Key {
+            Objects.requireNonNull(topic, "topic");
+            Objects.requireNonNull(subject, "subject");
+            Objects.requireNonNull(writer, "writer");
+        }
+    }
 }
--- a/fleet/src/main/java/walkpost/fleet/copy/Order.java
+++ b/fleet/src/main/java/walkpost/fleet/copy/Order.java
@@ -1,6 +1,7 @@
 package walkpost.fleet.copy;
 
 import java.util.List;
+import java.util.Objects;
 import walkpost.fleet.member.Life;
 
 /**
@@ -15,9 +16,17 @@
  */
 public record Order(Key key, String id, long version, List<String> replaces, String payload, String before, Life issuer) {
     public Order {
+        Objects.requireNonNull(key, "key");
+        Objects.requireNonNull(id, "id");
+        Objects.requireNonNull(issuer, "issuer");
         replaces = List.copyOf(replaces);
     }
 
     /** What an order is about: {@code exclusion} of a server, {@code placement} of a listener, ... */
-    public record Key(String topic, String subject) { }
+    public record Key(String topic, String subject) {
+        public Key {
+            Objects.requireNonNull(topic, "topic");
+            Objects.requireNonNull(subject, "subject");
+        }
+    }
 }
