--- a/fleet/src/main/java/walkpost/fleet/copy/Shard.java
+++ b/fleet/src/main/java/walkpost/fleet/copy/Shard.java
@@ -186,7 +186,8 @@
     private void hear(long nowUs, String from, CopyMessage.Facts told) {
         long wayUs = neighbours.roundTripUs(from) + touch.waitedUs(nowUs);
         for (Fact fact : told.facts()) {
-            Fact here = new Fact(fact.key(), fact.incarnation(), fact.version(), fact.payload(), fact.ageUs() + wayUs);
+            long ageUs = fact.ageUs() < 0 ? fact.ageUs() : fact.ageUs() + wayUs;
+            Fact here = new Fact(fact.key(), fact.incarnation(), fact.version(), fact.payload(), ageUs);
             facts.take(nowUs, here, !told.fetched(), out);
             if (told.fetched()) {
                 catchUp.fact(fact.key());
--- /dev/null
+++ b/fleet/src/test/java/walkpost/fleet/copy/OrdersTest.java
@@ -0,0 +1,314 @@
+package walkpost.fleet.copy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import walkpost.fleet.FleetException;
+
+class OrdersTest {
+    private static final Order.Key EXCLUSION = new Order.Key(SlotRule.EXCLUSION, "s1");
+    private static final Order.Key PLACEMENT = new Order.Key("placement", "l1");
+
+    private static Cluster level(int size) {
+        return level(new Cluster(size));
+    }
+
+    private static Cluster level(Cluster cluster) {
+        cluster.run(8_000);
+        assertThat(cluster.nodes.values()).allMatch(node -> node.shard.level());
+        return cluster;
+    }
+
+    private static void stands(Cluster cluster, Order.Key key, String payload, String... heads) {
+        assertThat(cluster.nodes.values()).allSatisfy(node -> {
+            assertThat(node.heads(key)).containsExactly(heads);
+            assertThat(node.shard.acting().get(key).payload()).isEqualTo(payload);
+            assertThat(node.stands.get(key).get(node.stands.get(key).size() - 1).payload()).isEqualTo(payload);
+        });
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 12, 100})
+    void anOrderIsAcknowledgedAndStandsWithAll(int size) {
+        Cluster cluster = level(size);
+        Cluster.Node first = cluster.nodes.values().iterator().next();
+        first.order(EXCLUSION, "o1", "", "{}");
+        cluster.run(10);
+        assertThat(first.acknowledged).containsKey("o1");
+        stands(cluster, EXCLUSION, "{}", "o1");
+        first.order(EXCLUSION, "o2", "o1", null);
+        cluster.run(10);
+        stands(cluster, EXCLUSION, null, "o2");
+        assertThat(first.disk.get(EXCLUSION).replaced()).containsKey("o1");
+        assertThat(cluster.largest).isLessThan(32 * 1024);
+    }
+
+    @Test
+    void anOrderRefusedForWantOfAMajorityNamesTheMissingAndIsNeverInForce() {
+        Cluster cluster = level(3);
+        cluster.cut("b", "c");
+        cluster.node("a").order(EXCLUSION, "o1", "", "{}");
+        cluster.run(1_100);
+        assertThat(cluster.node("a").refused.get("o1")).isInstanceOf(FleetException.NoMajority.class)
+                .hasMessageContaining("1 of 3").hasMessageContaining("b, c");
+        cluster.heal();
+        cluster.run(20_000);
+        assertThat(cluster.nodes.values()).allMatch(node -> node.shard.slots().isEmpty() && node.disk.isEmpty());
+    }
+
+    @Test
+    void promisesWhoseAnswersWereLostNeverBringAnOrderIntoForceAndAreFreed() {
+        Cluster cluster = level(3);
+        cluster.lost = flight -> flight.message() instanceof CopyMessage.Promised;
+        cluster.node("a").order(EXCLUSION, "o1", "", "{}");
+        cluster.run(1_100);
+        assertThat(cluster.node("a").refused.get("o1")).isInstanceOf(FleetException.NoMajority.class);
+        cluster.heal();
+        cluster.node("b").order(EXCLUSION, "o2", "", "{2}");
+        cluster.run(1_000);
+        stands(cluster, EXCLUSION, "{2}", "o2");
+    }
+
+    @Test
+    void theSameOrderSentAgainIsCarriedOutOnceAndAnsweredAnew() {
+        Cluster cluster = level(3);
+        for (String name : List.of("a", "a", "c")) {
+            cluster.node(name).order(EXCLUSION, "o1", "", "{}");
+            cluster.run(100);
+            assertThat(cluster.node(name).acknowledged).containsKey("o1");
+        }
+        stands(cluster, EXCLUSION, "{}", "o1");
+        assertThat(cluster.nodes.values()).allMatch(node -> node.stands.get(EXCLUSION).size() == 1);
+        cluster.node("a").order(EXCLUSION, "o1", "", "{other}");
+        assertThat(cluster.node("a").refused.get("o1")).isInstanceOf(FleetException.BadCall.class);
+        cluster.node("a").order(EXCLUSION, "o2", "o1", null);
+        cluster.run(100);
+        cluster.node("b").order(EXCLUSION, "o1", null, "{}");
+        assertThat(cluster.node("b").refused.get("o1")).isInstanceOf(FleetException.Overtaken.class);
+    }
+
+    @Test
+    void anOrderOnWhatNoLongerStandsIsRefused() {
+        Cluster cluster = level(3);
+        cluster.node("a").order(PLACEMENT, "o1", "", "1");
+        cluster.run(100);
+        cluster.node("b").order(PLACEMENT, "o2", "", "2");
+        assertThat(cluster.node("b").refused.get("o2")).isInstanceOf(FleetException.Overtaken.class).hasMessageContaining("o1");
+        cluster.node("b").order(PLACEMENT, "o3", "o1", null);
+        cluster.run(100);
+        cluster.node("b").order(PLACEMENT, "o4", null, null);
+        assertThat(cluster.node("b").refused.get("o4")).isInstanceOf(FleetException.BadCall.class);
+        stands(cluster, PLACEMENT, null, "o3");
+    }
+
+    @Test
+    void ofTwoOrdersThatCrossAtMostOneIsAcknowledged() {
+        Cluster cluster = level(5);
+        cluster.node("a").order(PLACEMENT, "x", "", "1");
+        cluster.node("b").order(PLACEMENT, "y", "", "2");
+        cluster.run(3_000);
+        assertThat(cluster.node("a").acknowledged.size() + cluster.node("b").acknowledged.size()).isLessThanOrEqualTo(1);
+        FleetException why = cluster.node("a").refused.getOrDefault("x", cluster.node("b").refused.get("y"));
+        assertThat(why).isInstanceOfAny(FleetException.Busy.class, FleetException.Overtaken.class);
+        assertThat(cluster.nodes.values()).allMatch(node -> node.heads(PLACEMENT).size() <= 1);
+    }
+
+    @Test
+    void anOrderDecidedButNotConfirmedIsUncertainAndAnsweredWhenSentAgain() {
+        Cluster cluster = level(3);
+        cluster.lost = flight -> flight.message() instanceof CopyMessage.Held;
+        cluster.node("a").order(EXCLUSION, "o1", "", "{}");
+        cluster.run(2_100);
+        assertThat(cluster.node("a").refused.get("o1")).isInstanceOf(FleetException.Uncertain.class).hasMessageContaining("b, c");
+        cluster.heal();
+        cluster.node("a").order(EXCLUSION, "o1", "", "{}");
+        cluster.run(100);
+        assertThat(cluster.node("a").acknowledged).containsKey("o1");
+        stands(cluster, EXCLUSION, "{}", "o1");
+    }
+
+    @Test
+    void aCoordinatorStoppedWithItsPromisesUnreadDecidesNothing() {
+        Cluster cluster = level(3);
+        cluster.node("a").order(EXCLUSION, "o1", "", "{}");
+        cluster.stop("a");
+        cluster.run(10_000);
+        cluster.go("a");
+        cluster.run(10_000);
+        assertThat(cluster.node("a").refused.get("o1")).isInstanceOf(FleetException.NoMajority.class);
+        assertThat(cluster.nodes.values()).allMatch(node -> node.shard.slots().isEmpty() && node.shard.level());
+    }
+
+    @Test
+    void aCoordinatorStoppedBeforeItTellsWhatItDecidedLeavesRivalsUntilAnOperatorSettlesThem() {
+        Cluster cluster = level(3);
+        Cluster.Node a = cluster.node("a");
+        a.order(PLACEMENT, "o0", "", "0");
+        a.order(EXCLUSION, "e0", "", "{}");
+        cluster.run(100);
+        a.order(PLACEMENT, "o1", "o0", "1");
+        a.order(EXCLUSION, "e1", "e0", "{1}");
+        cluster.run(1);
+        a.holdActions = true;
+        cluster.run(10);
+        assertThat(a.heads(PLACEMENT)).containsExactly("o1");
+        cluster.stop("a");
+        cluster.run(5_000);
+        cluster.node("b").order(PLACEMENT, "o2", "o0", "2");
+        cluster.node("b").order(EXCLUSION, "e2", "e0", null);
+        cluster.run(1_000);
+        assertThat(cluster.node("b").acknowledged).containsKeys("o2", "e2");
+        a.holdActions = false;
+        a.carryOut();
+        cluster.go("a");
+        cluster.run(10_000);
+        assertThat(a.refused.get("o1")).isInstanceOf(FleetException.Uncertain.class);
+        stands(cluster, PLACEMENT, "0", "o1", "o2");
+        stands(cluster, EXCLUSION, "{1}", "e1", "e2");
+        cluster.node("c").order(PLACEMENT, "o3", "o2", "3");
+        assertThat(cluster.node("c").refused.get("o3")).isInstanceOf(FleetException.Overtaken.class).hasMessageContaining("o1 and o2");
+        cluster.node("c").order(PLACEMENT, "o4", null, "4");
+        cluster.run(100);
+        stands(cluster, PLACEMENT, "4", "o4");
+    }
+
+    @Test
+    void aHolderThatStoodStillPromisesNothingUntilItHasComparedItself() {
+        Cluster cluster = level(3);
+        cluster.cut("c");
+        cluster.stop("b");
+        cluster.node("a").order(EXCLUSION, "o1", "", "{}");
+        cluster.run(900);
+        assertThat(cluster.node("b").inbox).isNotEmpty();
+        cluster.nowUs += 2_000_000;
+        cluster.go("b");
+        assertThat(cluster.node("b").shard.level()).isFalse();
+        cluster.run(200);
+        assertThat(cluster.node("a").refused).containsKey("o1");
+        assertThat(cluster.node("b").shard.slots()).isEmpty();
+    }
+
+    @Test
+    void aMemberThatWasAwayCatchesUpAndWhatWasRemovedDoesNotComeBack() {
+        Cluster cluster = level(3);
+        cluster.node("a").order(EXCLUSION, "o1", "", "{}");
+        cluster.run(100);
+        cluster.cut("c");
+        cluster.node("a").order(EXCLUSION, "o2", "o1", null);
+        for (int i = 0; i < 300; i++) {
+            cluster.node("b").order(new Order.Key("placement", "l" + i), "p" + i, "", "x".repeat(200));
+        }
+        cluster.run(8_000);
+        assertThat(cluster.node("c").shard.level()).isFalse();
+        assertThat(cluster.node("c").stands.get(EXCLUSION)).hasSize(1);
+        cluster.heal();
+        cluster.run(4_000);
+        assertThat(cluster.node("c").shard.level()).isTrue();
+        assertThat(cluster.node("c").shard.slots()).hasSize(301);
+        stands(cluster, EXCLUSION, null, "o2");
+    }
+
+    @Test
+    void aMemberThatWasAwayForLongerThanRemovalsAreRememberedEmptiesItsCopy() {
+        Cluster cluster = level(new Cluster(3, CopySettings.usual().withRemovals(10, 20_000_000), 3));
+        cluster.node("a").order(EXCLUSION, "o1", "", "{}");
+        cluster.node("a").order(PLACEMENT, "p1", "", "1");
+        cluster.run(100);
+        cluster.cut("c");
+        cluster.node("a").order(EXCLUSION, "o2", "o1", null);
+        cluster.run(25_000);
+        assertThat(cluster.node("a").heads(EXCLUSION)).isEmpty();
+        assertThat(cluster.node("a").disk).containsOnlyKeys(PLACEMENT);
+        cluster.heal();
+        cluster.run(10_000);
+        assertThat(cluster.nodes.values()).allSatisfy(node -> {
+            assertThat(node.shard.level()).isTrue();
+            assertThat(node.heads(EXCLUSION)).isEmpty();
+            assertThat(node.disk).containsOnlyKeys(PLACEMENT);
+        });
+        assertThat(cluster.node("c").stands.get(EXCLUSION)).extracting(Acting::payload).containsExactly("{}", null);
+        stands(cluster, PLACEMENT, "1", "p1");
+    }
+
+    @Test
+    void whenNoMoreRemovalsCanBeRememberedOrdersThatRemoveAreRefused() {
+        Cluster cluster = level(new Cluster(3, CopySettings.usual().withRemovals(1, 20_000_000), 3));
+        for (String id : List.of("x", "y")) {
+            cluster.node("a").order(new Order.Key("t", id), id, "", "1");
+            cluster.run(100);
+            cluster.node("a").order(new Order.Key("t", id), id + "-", id, null);
+            cluster.run(100);
+        }
+        assertThat(cluster.node("a").acknowledged).containsKey("x-");
+        assertThat(cluster.node("a").refused.get("y-")).isInstanceOf(FleetException.Full.class);
+        cluster.run(21_000);
+        cluster.node("a").order(new Order.Key("t", "y"), "y-", "y", null);
+        cluster.run(100);
+        assertThat(cluster.node("a").acknowledged).containsKey("y-");
+    }
+
+    @Test
+    void afterAllWereKilledWhatWasAcknowledgedStandsAgainFromDisk() {
+        Cluster cluster = level(5);
+        cluster.cut("d", "e");
+        cluster.node("a").order(EXCLUSION, "o1", "", "{}");
+        cluster.run(100);
+        assertThat(cluster.node("a").acknowledged).containsKey("o1");
+        cluster.heal();
+        cluster.nowUs += 3 * 24 * 3600 * 1_000_000L;
+        cluster.nodes.values().forEach(node -> node.restart(3 * 24 * 3600 * 1_000_000L));
+        assertThat(cluster.nodes.values()).noneMatch(node -> node.shard.level());
+        cluster.run(2_900);
+        assertThat(cluster.nodes.values()).noneMatch(node -> node.shard.level());
+        cluster.run(5_000);
+        assertThat(cluster.nodes.values()).allMatch(node -> node.shard.level());
+        stands(cluster, EXCLUSION, "{}", "o1");
+    }
+
+    @Test
+    void aMemberInSilenceOrStoodStillIsNotLevelUntilItHasComparedItselfAnew() {
+        Cluster cluster = level(3);
+        cluster.cut("c");
+        cluster.run(3_900);
+        assertThat(cluster.node("c").shard.level()).isTrue();
+        cluster.run(1_200);
+        assertThat(cluster.node("c").shard.level()).isFalse();
+        cluster.node("c").order(EXCLUSION, "o1", "", "{}");
+        assertThat(cluster.node("c").refused.get("o1")).isInstanceOf(FleetException.NotLevel.class).hasMessageContaining("1 of 2");
+        assertThat(cluster.node("a").shard.level()).isTrue();
+        cluster.heal();
+        cluster.run(2_500);
+        assertThat(cluster.node("c").shard.level()).isTrue();
+        cluster.stop("c");
+        cluster.run(1_500);
+        cluster.go("c");
+        cluster.run(1);
+        assertThat(cluster.node("c").shard.figures()).containsEntry("touch.stood_still", 1L).containsEntry("touch.lost", 2L);
+        cluster.run(2_500);
+        assertThat(cluster.node("c").shard.level()).isTrue();
+    }
+
+    @Test
+    void equalSeedsGiveEqualActions() {
+        List<String> first = trace();
+        assertThat(first).hasSizeGreaterThan(100).isEqualTo(trace());
+    }
+
+    private static List<String> trace() {
+        List<String> trace = new ArrayList<>();
+        Cluster cluster = new Cluster(4);
+        cluster.lost = flight -> {
+            trace.add(flight.atUs() + " " + flight.from() + " " + flight.to() + " " + flight.message().getClass().getSimpleName());
+            return flight.number() % 7 == 0;
+        };
+        cluster.run(6_000);
+        cluster.node("a").order(EXCLUSION, "o1", "", "{}");
+        cluster.node("b").take(new CopyEvent.Tell("verdict", "s1", "1"));
+        cluster.run(2_000);
+        return trace;
+    }
+}
