Compare facts with one member a period only, and tell news less often in small fleets

Also: a writer's versions can't be driven to their limit by what a former life of it is said to have written, and payloads are one line.

--- a/fleet/src/main/java/walkpost/fleet/copy/Answers.java
+++ b/fleet/src/main/java/walkpost/fleet/copy/Answers.java
@@ -21,7 +21,7 @@
 
     void compare(long nowUs, String from, CopyMessage.Compare asked, Outbox out) {
         long[] slots = asked.slots() == book.tree().root() ? EQUAL : book.tree().nodes();
-        long[] others = asked.facts() == facts.tree().root() ? EQUAL : facts.tree().nodes();
+        long[] others = asked.facts() == null || asked.facts() == facts.tree().root() ? EQUAL : facts.tree().nodes();
         out.send(from, new CopyMessage.Nodes(asked.round(), touch.awayUs(nowUs), slots, others));
     }
 
--- a/fleet/src/main/java/walkpost/fleet/copy/CatchUp.java
+++ b/fleet/src/main/java/walkpost/fleet/copy/CatchUp.java
@@ -71,7 +71,10 @@
             // The draw keeps members that started together from asking together for ever.
             nextUs = nowUs + settings.compareUs() - neighbours.draw(Math.max(1, settings.compareUs() / 8));
             asked.keySet().removeIf(name -> !neighbours.alive(name));
-            whom().forEach(name -> begin(nowUs, name, out));
+            // The last one is drawn from all, so that facts of members that are not configured are found as well.
+            List<String> drawn = neighbours.draw(1);
+            whom().stream().filter(name -> !drawn.contains(name)).forEach(name -> begin(nowUs, name, null, out));
+            drawn.forEach(name -> begin(nowUs, name, facts.tree().root(), out));
         }
         fetches.ask(nowUs, out, (stamp, sources) -> sources.forEach(rounds::remove));
     }
@@ -149,7 +152,7 @@
         touch.compared(with, nowUs);
     }
 
-    private void begin(long nowUs, String name, Outbox out) {
+    private void begin(long nowUs, String name, Long factsRoot, Outbox out) {
         asked.put(name, ++askings);
         Round running = rounds.get(name);
         if (running != null && running.moved && nowUs - running.movedUs < PATIENCE_US) {
@@ -157,7 +160,7 @@
         }
         Round round = new Round(++numbers);
         rounds.put(name, round);
-        out.send(name, new CopyMessage.Compare(round.number, touch.awayUs(nowUs), book.tree().root(), facts.tree().root()));
+        out.send(name, new CopyMessage.Compare(round.number, touch.awayUs(nowUs), book.tree().root(), factsRoot));
     }
 
     /** Those asked longest ago, and some of those heard longest ago, so that a lost message does not look like silence. */
@@ -170,8 +173,6 @@
         configured.stream().limit(count).forEach(whom::add);
         configured.sort(Comparator.comparingLong(touch::heardUs));
         configured.stream().filter(name -> !whom.contains(name)).limit((count + 3) / 4).toList().forEach(whom::add);
-        // Facts of members that are not configured are found as well.
-        whom.addAll(neighbours.draw(1));
         return whom;
     }
 
--- a/fleet/src/main/java/walkpost/fleet/copy/CopyMessage.java
+++ b/fleet/src/main/java/walkpost/fleet/copy/CopyMessage.java
@@ -69,8 +69,11 @@
     /** Step 4: it stands here, on disk where there is one. */
     record Held(long round, String id) implements CopyMessage { }
 
-    /** The roots of a copy, to be compared; {@code awayUs} is how long ago the sender last was level. */
-    record Compare(long round, long awayUs, long slots, long facts) implements CopyMessage { }
+    /**
+     * The roots of a copy, to be compared; {@code awayUs} is how long ago the sender last was level. The root of facts is null where
+     * they are not to be compared: of facts, which change all the time, some are always on their way.
+     */
+    record Compare(long round, long awayUs, long slots, Long facts) implements CopyMessage { }
 
     /** The nodes of those trees whose roots differ; empty where they do not. */
     record Nodes(long round, long awayUs, long[] slots, long[] facts) implements CopyMessage {
--- a/fleet/src/main/java/walkpost/fleet/copy/FactBook.java
+++ b/fleet/src/main/java/walkpost/fleet/copy/FactBook.java
@@ -197,7 +197,13 @@
                 news.accept(entry.fact.key());
             });
         }
-        version = Math.max(version, heard.version());
+        if (heard.incarnation() == incarnation) {
+            version = Math.max(version, heard.version());
+        }
+        if (version >= LIMIT) {
+            incarnation++;
+            version = 0;
+        }
         put(new Fact(heard.key(), incarnation, ++version, mine == null ? null : mine.fact.payload(), 0),
                 mine == null ? nowUs : mine.seenUs);
         news.accept(heard.key());
--- a/fleet/src/main/java/walkpost/fleet/copy/OrderBook.java
+++ b/fleet/src/main/java/walkpost/fleet/copy/OrderBook.java
@@ -17,6 +17,7 @@
     private final Map<Order.Key, Long> removedUs = new LinkedHashMap<>();
     private final Set<Order.Key> unsaved = new LinkedHashSet<>();
     private final Set<Order.Key> untold = new LinkedHashSet<>();
+    private long nextForgetUs = Long.MIN_VALUE;
 
     OrderBook(CopySettings settings, Figures figures) {
         this.settings = settings;
@@ -89,8 +90,12 @@
         return since == null ? 0 : nowUs - since;
     }
 
-    /** Forgets removals that are old enough. */
+    /** Forgets removals that are old enough; looks once in a period of comparing. */
     void forget(long nowUs) {
+        if (nowUs < nextForgetUs) {
+            return;
+        }
+        nextForgetUs = nowUs + settings.compareUs();
         List<Order.Key> old = new ArrayList<>();
         removedUs.forEach((key, since) -> {
             if (nowUs - since >= settings.removalUs()) {
--- a/fleet/src/main/java/walkpost/fleet/copy/Proposals.java
+++ b/fleet/src/main/java/walkpost/fleet/copy/Proposals.java
@@ -150,6 +150,8 @@
             why = "an order needs a subject of 1 to " + Sizes.SUBJECT + " bytes";
         } else if (Sizes.utf8(call.payload()) > Sizes.PAYLOAD) {
             why = "an order's payload has " + Sizes.PAYLOAD + " bytes at most";
+        } else if (call.payload() != null && call.payload().indexOf('\n') >= 0) {
+            why = "an order's payload is one line of JSON";
         } else if (known != null && !(known.key().equals(call.key()) && Objects.equals(known.payload(), call.payload()))) {
             why = "the id " + call.id() + " belongs to another order";
         } else if (known == null && call.payload() == null && SlotRule.removed(slot) && !slot.replaced().containsKey(call.id())) {
--- a/fleet/src/main/java/walkpost/fleet/copy/Spread.java
+++ b/fleet/src/main/java/walkpost/fleet/copy/Spread.java
@@ -12,6 +12,9 @@
  * times in all; those whom all of it misses find it by comparing.
  */
 final class Spread {
+    /** With c log n tellings by each of n members, one that is told at random is missed with a chance of n to the power of -c. */
+    private static final double ENOUGH = 1.5;
+
     private final CopySettings settings;
     private final Neighbours neighbours;
     private final Map<Fact.Key, Integer> left = new LinkedHashMap<>();
@@ -24,7 +27,7 @@
     /** A fact is news from now on, or again. */
     void add(Fact.Key key) {
         int others = neighbours.alive().size();
-        left.put(key, 1 + (int) Math.ceil(Math.log(1 + others) / settings.fanOut()));
+        left.put(key, others == 0 ? 1 : (int) Math.ceil(ENOUGH * Math.log(1 + others) / settings.fanOut()));
     }
 
     /** Tells one fact of this member's own to some others at once. */
