--- a/fleet/src/test/java/walkpost/fleet/copy/Cluster.java
+++ b/fleet/src/test/java/walkpost/fleet/copy/Cluster.java
@@ -1,5 +1,7 @@
 package walkpost.fleet.copy;
 
+import static org.assertj.core.api.Assertions.assertThat;
+
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.dataformat.cbor.databind.CBORMapper;
@@ -21,7 +23,7 @@
 import walkpost.fleet.FleetException;
 import walkpost.fleet.member.Life;
 
-/** Shards on a clock and a network of the test's own. Each message goes through CBOR and takes a millisecond. */
+/** Shards on a clock and a network of the test's own. Each message goes through CBOR, has to stay below 32 KiB, and takes a millisecond. */
 final class Cluster {
     private static final ObjectMapper CBOR = new CBORMapper().configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false);
     private static final long MS = 1_000;
@@ -110,7 +112,6 @@
     final Set<String> away = new HashSet<>();
     Predicate<Flight> lost = flight -> false;
     long nowUs = -7_000 * MS;
-    int largest;
     private final CopySettings settings;
     private final Set<String> configured;
     private final long seed;
@@ -200,7 +201,7 @@
     private CopyMessage copy(CopyMessage message) {
         try {
             byte[] bytes = CBOR.writerFor(CopyMessage.class).writeValueAsBytes(message);
-            largest = Math.max(largest, bytes.length);
+            assertThat(bytes.length).isLessThan(32 * 1024);
             return CBOR.readValue(bytes, CopyMessage.class);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
--- a/fleet/src/test/java/walkpost/fleet/copy/OrdersTest.java
+++ b/fleet/src/test/java/walkpost/fleet/copy/OrdersTest.java
@@ -4,10 +4,12 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import walkpost.fleet.FleetException;
+import walkpost.fleet.member.Life;
 
 class OrdersTest {
     private static final Order.Key EXCLUSION = new Order.Key(SlotRule.EXCLUSION, "s1");
@@ -44,7 +46,6 @@
         cluster.run(10);
         stands(cluster, EXCLUSION, null, "o2");
         assertThat(first.disk.get(EXCLUSION).replaced()).containsKey("o1");
-        assertThat(cluster.largest).isLessThan(32 * 1024);
     }
 
     @Test
@@ -292,6 +293,48 @@
         assertThat(cluster.node("c").shard.level()).isTrue();
     }
 
+    @Test
+    void theGreatestOrdersAndTheirRivalsFitIntoMessages() {
+        Cluster cluster = level(3);
+        String payload = "\u00e9".repeat(Sizes.PAYLOAD / 2);
+        for (int i = 0; i < 70; i++) {
+            cluster.node("a").order(PLACEMENT, "x".repeat(Sizes.ID - 2) + (10 + i), null, payload);
+            cluster.run(10);
+        }
+        assertThat(cluster.node("a").acknowledged).hasSize(70);
+        assertThat(cluster.node("b").disk.get(PLACEMENT).replaced()).hasSize(SlotRule.REMEMBERED);
+        for (int i = 0; i < 7; i++) {
+            Order rival = new Order(PLACEMENT, "r" + i, 70, List.of(), payload, payload, new Life("z", 1));
+            cluster.node(i % 2 == 0 ? "b" : "c").take(new CopyEvent.Received("z",
+                    new CopyMessage.Hold(i, rival.id(), new Slot(PLACEMENT, List.of(rival), Map.of(), 0))));
+        }
+        cluster.run(5_000);
+        assertThat(cluster.nodes.values()).allMatch(node -> node.heads(PLACEMENT).size() == 8);
+        cluster.node("c").order(PLACEMENT, "settled", null, payload);
+        cluster.run(100);
+        stands(cluster, PLACEMENT, payload, "settled");
+    }
+
+    @Test
+    void whatAMinorityHeldWhileManyOrdersWentByIsOverAndCounted() {
+        Cluster cluster = level(3);
+        cluster.lost = flight -> flight.message() instanceof CopyMessage.Hold;
+        cluster.node("c").order(PLACEMENT, "lonely", "", "0");
+        cluster.run(20);
+        cluster.cut("c");
+        cluster.lost = flight -> false;
+        cluster.run(3_000);
+        assertThat(cluster.node("c").refused.get("lonely")).isInstanceOf(FleetException.Uncertain.class);
+        for (int i = 0; i < 70; i++) {
+            cluster.node("a").order(PLACEMENT, "o" + i, null, "1");
+            cluster.run(10);
+        }
+        cluster.heal();
+        cluster.run(5_000);
+        stands(cluster, PLACEMENT, "1", "o69");
+        assertThat(cluster.node("c").shard.figures()).containsEntry("orders.under_floor", 1L);
+    }
+
     @Test
     void equalSeedsGiveEqualActions() {
         List<String> first = trace();
