--- a/fleet/src/main/java/walkpost/fleet/shell/LogFile.java
+++ b/fleet/src/main/java/walkpost/fleet/shell/LogFile.java
@@ -39,8 +39,8 @@
         this.end = end;
         try {
             if (channel.size() > end) {
+                // It needs no wait: what is not cut on disk by the next wait's end is cut at the next start.
                 channel.truncate(end);
-                channel.force(true);
             }
         } catch (IOException e) {
             channel.close();
--- /dev/null
+++ b/fleet/src/test/java/walkpost/fleet/shell/CodecTest.java
@@ -0,0 +1,178 @@
+package walkpost.fleet.shell;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.dataformat.cbor.databind.CBORMapper;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import walkpost.fleet.copy.CopyMessage;
+import walkpost.fleet.copy.Fact;
+import walkpost.fleet.copy.Order;
+import walkpost.fleet.copy.Slot;
+import walkpost.fleet.member.Address;
+import walkpost.fleet.member.Life;
+import walkpost.fleet.member.MemberMessage;
+
+/** Messages as bytes: what is not from this cluster's members, or not understood, is dropped under its cause and never an error. */
+final class CodecTest {
+    private static final byte[] SECRET = "a secret of the test's".getBytes(StandardCharsets.UTF_8);
+    private static final int HEAD = 33;
+    private static final int SHARDS = 8;
+    private static final Life FROM = new Life("n1", 17);
+    private static final Address AT = new Address("127.0.0.1", 7401);
+    private static final MemberMessage PING = new MemberMessage.Ping(3, "n2", FROM, AT, List.of());
+    private static final CBORMapper CBOR = new CBORMapper();
+
+    private final Counters counters = new Counters();
+    private final Codec codec = codec("gent", SECRET);
+
+    private Codec codec(String cluster, byte[] secret) {
+        return new Codec(cluster, SHARDS, new Secret(secret), counters);
+    }
+
+    private byte[] ping() {
+        return codec.encode(Envelope.of(PING, "gent", FROM, AT, SHARDS));
+    }
+
+    /** Returns a message of the same secret whose envelope was changed. */
+    private byte[] ping(Consumer<ObjectNode> change) throws IOException, GeneralSecurityException {
+        byte[] ping = ping();
+        var tree = (ObjectNode) CBOR.readTree(Arrays.copyOfRange(ping, HEAD, ping.length));
+        change.accept(tree);
+        return signed((byte) Codec.FORMAT, tree);
+    }
+
+    private static byte[] signed(byte format, JsonNode tree) throws GeneralSecurityException, JsonProcessingException {
+        byte[] body = CBOR.writeValueAsBytes(tree);
+        Mac mac = Mac.getInstance("HmacSHA256");
+        mac.init(new SecretKeySpec(SECRET, "HmacSHA256"));
+        mac.update(format);
+        byte[] code = mac.doFinal(body);
+        byte[] message = new byte[HEAD + body.length];
+        message[0] = format;
+        System.arraycopy(code, 0, message, 1, code.length);
+        System.arraycopy(body, 0, message, HEAD, body.length);
+        return message;
+    }
+
+    private void dropped(byte[] message, String cause) {
+        long before = counters.get("dropped_" + cause);
+        assertThat(codec.decode(message)).isNull();
+        assertThat(counters.all()).containsEntry("dropped_" + cause, before + 1);
+    }
+
+    @Test
+    void messagesOfMembersAndOfShardsComeBackAsTheyWere() {
+        Envelope member = Envelope.of(PING, "gent", FROM, AT, SHARDS);
+        assertThat(codec.decode(codec.encode(member))).isEqualTo(member);
+        var key = new Order.Key("exclusion", "tile-1");
+        var order = new Order(key, "o1", 2, List.of("o0"), "{\"out\":true}", null, FROM);
+        var hold = new CopyMessage.Hold(4, "o1", new Slot(key, List.of(order), Map.of("o0", 1L), 0));
+        var facts = new CopyMessage.Facts(false, List.of(new Fact(new Fact.Key("load", "n1", "n1"), 17, 1, null, 250)));
+        for (CopyMessage message : List.of(hold, facts)) {
+            Envelope copy = Envelope.of(message, 5, "gent", FROM, AT, SHARDS);
+            assertThat(codec.decode(codec.encode(copy))).isEqualTo(copy);
+        }
+        assertThat(counters.all()).isEmpty();
+    }
+
+    @Test
+    void unknownFieldsArePassedOver() throws Exception {
+        byte[] later = ping(tree -> {
+            tree.put("colour", "green");
+            ((ObjectNode) tree.get("member")).putArray("more").add(1).addObject().put("a", 2);
+            ((ObjectNode) tree.get("from")).put("zone", "cellar");
+        });
+        assertThat(codec.decode(later)).isEqualTo(Envelope.of(PING, "gent", FROM, AT, SHARDS));
+    }
+
+    @Test
+    void aMessageWithAnotherSecretOrNoneIsNotBelieved() {
+        byte[] ping = ping();
+        dropped(codec("gent", "another one, as long".getBytes(StandardCharsets.UTF_8)).encode(
+                Envelope.of(PING, "gent", FROM, AT, SHARDS)), "not_authentic");
+        byte[] without = ping.clone();
+        Arrays.fill(without, 1, HEAD, (byte) 0);
+        dropped(without, "not_authentic");
+        dropped(Arrays.copyOfRange(ping, HEAD, ping.length), "unknown_format");
+        dropped(Arrays.copyOf(ping, HEAD), "no_message");
+        dropped(new byte[0], "no_message");
+        dropped(new byte[Codec.MOST + 1], "no_message");
+    }
+
+    @Test
+    void eachByteCountsWhicheverIsGarbled() {
+        byte[] ping = ping();
+        for (int i = 0; i < ping.length; i++) {
+            byte[] garbled = ping.clone();
+            garbled[i] ^= 1;
+            dropped(garbled, i == 0 ? "unknown_format" : "not_authentic");
+            dropped(Arrays.copyOf(ping, i), i <= HEAD ? "no_message" : "not_authentic");
+        }
+    }
+
+    @Test
+    void otherClustersAndOtherNumbersOfShardsAreToldApart() throws Exception {
+        dropped(codec("brugge", SECRET).encode(Envelope.of(PING, "brugge", FROM, AT, SHARDS)), "other_cluster");
+        dropped(ping(tree -> tree.put("shards", 4)), "other_shards");
+        dropped(signed((byte) 2, CBOR.createObjectNode().put("all", "else")), "unknown_format");
+    }
+
+    @Test
+    void whatIsAuthenticAndMakesNoSenseIsDropped() throws Exception {
+        dropped(ping(tree -> ((ObjectNode) tree.get("member")).put("t", "song")), "not_understood");
+        dropped(ping(tree -> ((ObjectNode) tree.get("member")).put("seq", "three")), "not_understood");
+        dropped(ping(tree -> tree.remove("from")), "not_understood");
+        dropped(ping(tree -> tree.remove("at")), "not_understood");
+        dropped(ping(tree -> tree.remove("member")), "not_understood");
+        dropped(ping(tree -> tree.remove("cluster")), "not_understood");
+        dropped(ping(tree -> tree.put("shard", 8)), "not_understood");
+        dropped(ping(tree -> tree.put("shard", -1)), "not_understood");
+        dropped(ping(tree -> ((ObjectNode) tree.get("from")).put("name", "n 1\n")), "not_understood");
+        dropped(ping(tree -> ((ObjectNode) tree.get("from")).put("incarnation", -1)), "not_understood");
+        dropped(signed((byte) Codec.FORMAT, CBOR.getNodeFactory().nullNode()), "not_understood");
+        JsonNode deep = CBOR.createArrayNode();
+        for (int i = 0; i < 100; i++) {
+            deep = CBOR.createArrayNode().add(deep);
+        }
+        JsonNode nested = deep;
+        dropped(ping(tree -> tree.set("more", nested)), "not_understood");
+    }
+
+    @Property(tries = 500, seed = "20261202")
+    void noBytesGetAnErrorOut(@ForAll byte[] body, @ForAll boolean authentic) throws Exception {
+        byte[] message = new byte[HEAD + body.length];
+        message[0] = Codec.FORMAT;
+        System.arraycopy(body, 0, message, HEAD, body.length);
+        if (authentic) {
+            Mac mac = Mac.getInstance("HmacSHA256");
+            mac.init(new SecretKeySpec(SECRET, "HmacSHA256"));
+            mac.update((byte) Codec.FORMAT);
+            System.arraycopy(mac.doFinal(body), 0, message, 1, HEAD - 1);
+        }
+        long before = counters.all().values().stream().mapToLong(Long::longValue).sum();
+        assertThat(codec.decode(message)).isNull();
+        assertThat(counters.all().values().stream().mapToLong(Long::longValue).sum()).isEqualTo(before + 1);
+    }
+
+    @Test
+    void aMessageTooLongIsNotSent() {
+        var facts = new CopyMessage.Facts(false,
+                List.of(new Fact(new Fact.Key("load", "n1", "n1"), 17, 1, "x".repeat(Codec.MOST), 0)));
+        assertThat(codec.encode(Envelope.of(facts, 0, "gent", FROM, AT, SHARDS))).isNull();
+        assertThat(counters.get("dropped_too_long")).isOne();
+    }
+}
