Test a shard's lane on its own clock, and what strangers send to a member

Late facts, full inboxes, late and failing listeners, and messages of former lives, own names and other secrets had no test. Two secrets that differ in trailing zeros only are one to HMAC (RFC 2104 fills up with zeros); the test uses others.

--- a/fleet/src/test/java/walkpost/fleet/shell/FleetTest.java
+++ b/fleet/src/test/java/walkpost/fleet/shell/FleetTest.java
@@ -4,6 +4,7 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -13,6 +14,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Predicate;
@@ -25,11 +27,14 @@
 import walkpost.fleet.FleetException.BadDirectory;
 import walkpost.fleet.FleetException.NotLevel;
 import walkpost.fleet.copy.Acting;
+import walkpost.fleet.copy.CopyMessage;
 import walkpost.fleet.copy.CopySettings;
 import walkpost.fleet.copy.Fact;
 import walkpost.fleet.copy.Order;
 import walkpost.fleet.member.Address;
+import walkpost.fleet.member.Life;
 import walkpost.fleet.member.Member;
+import walkpost.fleet.member.MemberMessage;
 import walkpost.fleet.member.MemberSettings;
 import walkpost.fleet.member.Standing;
 
@@ -231,6 +236,28 @@
         assertThatThrownBy(() -> ordered(alone, "o2", "", "{}")).hasCauseInstanceOf(NotLevel.class);
     }
 
+    @Test
+    void whatOthersSendInAWrongNameLifeOrSecretIsDropped() throws Exception {
+        Fleet fleet = open(file("n1", List.of("n1", "n2"), List.of(), false), LogFile::new);
+        var answers = new LinkedBlockingQueue<byte[]>();
+        try (Transport n2 = new Transport(new Address("127.0.0.1", 0), answers::add, new Counters())) {
+            var codec = new Codec("gent", 4, SECRET, new Counters());
+            var life = new Life("n2", 5);
+            var word = new CopyMessage.Want(List.of(), List.of());
+            var ping = Envelope.of(new MemberMessage.Ping(1, "n1", life, n2.bound(), List.of()), "gent", life, n2.bound(), 4);
+            n2.send(fleet.address(), codec.encode(ping), false);
+            assertThat(answers.poll(FAILED_S, TimeUnit.SECONDS)).isNotNull();
+            answers.clear();
+            n2.send(fleet.address(), codec.encode(Envelope.of(word, 0, "gent", new Life("n2", 4), n2.bound(), 4)), false);
+            n2.send(fleet.address(), codec.encode(Envelope.of(word, 0, "gent", new Life("n1", 9), n2.bound(), 4)), false);
+            n2.send(fleet.address(), new Codec("gent", 4, new Secret("quite another".repeat(2).getBytes(StandardCharsets.UTF_8)), new Counters()).encode(ping), false);
+            n2.send(fleet.address(), codec.encode(ping), false);
+            assertThat(answers.poll(FAILED_S, TimeUnit.SECONDS)).isNotNull();
+            assertThat(fleet.counters()).containsEntry("dropped_former_life", 1L).containsEntry("dropped_own_name", 1L)
+                    .containsEntry("dropped_not_authentic", 1L);
+        }
+    }
+
     @Test
     void closedOrNotOpenedItHoldsNothing() throws Exception {
         FleetFile file = file("n1", List.of("n1"), List.of(), true);
--- /dev/null
+++ b/fleet/src/test/java/walkpost/fleet/shell/ShardLaneTest.java
@@ -0,0 +1,196 @@
+package walkpost.fleet.shell;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.RejectedExecutionException;
+import org.junit.jupiter.api.Test;
+import walkpost.fleet.FleetException;
+import walkpost.fleet.copy.Acting;
+import walkpost.fleet.copy.CopyEvent;
+import walkpost.fleet.copy.CopyMessage;
+import walkpost.fleet.copy.CopySettings;
+import walkpost.fleet.copy.Fact;
+import walkpost.fleet.copy.Order;
+import walkpost.fleet.copy.Shard;
+import walkpost.fleet.member.Life;
+import walkpost.fleet.member.Member;
+
+/** One shard's events and what comes of them, on a clock and by a thread of the test's. */
+final class ShardLaneTest {
+    private static final Life SELF = new Life("n1", 1);
+
+    private final Queue<Runnable> pool = new ArrayDeque<>();
+    private final Counters counters = new Counters();
+    private final List<String> done = new ArrayList<>();
+    private long nowUs = 1_000_000;
+    private final ShardLane lane = new ShardLane(0, new Shard(CopySettings.usual(), SELF, Set.of("n1"), 1), "n1", () -> nowUs, counters,
+            pool::add, null, new ShardLane.Surroundings() {
+                @Override
+                public void send(int shard, String to, CopyMessage message) {
+                    done.add("send " + to);
+                }
+
+                @Override
+                public void level(int shard, boolean level) {
+                    done.add("level " + level);
+                }
+
+                @Override
+                public void acknowledged(String id, Order order) {
+                    done.add("acknowledged " + id);
+                }
+
+                @Override
+                public void refused(String id, FleetException why) {
+                    done.add("refused " + id);
+                }
+            });
+
+    private final class Heard implements FleetListener {
+        @Override
+        public void member(Member member) {
+            done.add("member " + member.life().name());
+        }
+
+        @Override
+        public void fact(Fact fact) {
+            done.add("fact " + fact.payload());
+        }
+
+        @Override
+        public void stale(Fact.Key key) {
+            done.add("stale " + key.subject());
+        }
+
+        @Override
+        public void stands(Order.Key key, Acting acting) {
+            done.add("stands " + acting.payload());
+        }
+
+        @Override
+        public void level(boolean level) {
+            done.add("all level " + level);
+        }
+    }
+
+    private void run() {
+        while (!pool.isEmpty()) {
+            pool.poll().run();
+        }
+    }
+
+    private static CopyEvent.Received fact(int version) {
+        return new CopyEvent.Received("n2", new CopyMessage.Facts(false,
+                List.of(new Fact(new Fact.Key("load", "n2", "n2"), 1, version, "v" + version, 0))));
+    }
+
+    @Test
+    void whatComesOfAnEventIsCarriedOutInOrder() {
+        lane.listen(new Outlet(Runnable::run, new Heard()), topic -> 10_000_000);
+        lane.tick();
+        run();
+        lane.offer(new CopyEvent.Propose(new Order.Key("exclusion", "t"), "o1", "", "{}"));
+        lane.offer(new CopyEvent.Propose(new Order.Key("exclusion", "t"), "o2", "", "{}"));
+        run();
+        assertThat(done.get(0)).isEqualTo("level true");
+        assertThat(done).containsSubsequence("level true", "acknowledged o1").contains("refused o2", "stands {}");
+    }
+
+    @Test
+    void whoListensLateHearsFirstWhatWasToldBefore() {
+        lane.tick();
+        lane.offer(new CopyEvent.Propose(new Order.Key("exclusion", "t"), "o1", "", "{}"));
+        run();
+        lane.offer(new CopyEvent.Propose(new Order.Key("exclusion", "t"), "o1", "", "{}"));
+        lane.offer(fact(1), 10);
+        lane.offer(fact(2), 10);
+        run();
+        done.clear();
+        lane.listen(new Outlet(Runnable::run, new Heard()), topic -> 10_000_000);
+        lane.offer(fact(3), 10);
+        run();
+        assertThat(done).containsExactly("stands {}", "fact v2", "fact v3");
+    }
+
+    @Test
+    void factsThatWaitedAreNotTakenForNewerThanTheyAre() {
+        lane.listen(new Outlet(Runnable::run, new Heard()), topic -> 10_000_000);
+        run();
+        lane.offer(fact(1), 10);
+        nowUs += 100_000;
+        run();
+        lane.offer(fact(2), 10);
+        nowUs += 100_001;
+        run();
+        assertThat(done).contains("fact v1").doesNotContain("fact v2");
+        assertThat(counters.get("dropped_late")).isOne();
+    }
+
+    @Test
+    void noMoreMessagesWaitThanTheBoundAndRoomIsGivenBack() {
+        for (int i = 0; i <= ShardLane.MOST_MESSAGES; i++) {
+            lane.offer(fact(i), 10);
+        }
+        assertThat(counters.get("dropped_shard_full")).isOne();
+        run();
+        lane.offer(fact(1), ShardLane.MOST_BYTES);
+        lane.offer(fact(2), 1);
+        assertThat(counters.get("dropped_shard_full")).isEqualTo(2);
+        run();
+        lane.offer(fact(3), ShardLane.MOST_BYTES);
+        assertThat(counters.get("dropped_shard_full")).isEqualTo(2);
+    }
+
+    @Test
+    void aListenerThatFailsOrWhoseExecutorHasEndedKeepsNobodyElseFromHearing() {
+        lane.listen(new Outlet(task -> {
+            throw new RejectedExecutionException("over");
+        }, new Heard()), topic -> 10_000_000);
+        lane.listen(new Outlet(Runnable::run, new FailsOnce()), topic -> 10_000_000);
+        run();
+        lane.offer(fact(1), 10);
+        lane.offer(fact(2), 10);
+        run();
+        assertThat(done).containsSubsequence("failed", "fact v2").doesNotContain("fact v1");
+    }
+
+    private final class FailsOnce implements FleetListener {
+        private final Heard heard = new Heard();
+        private boolean failed;
+
+        @Override
+        public void fact(Fact fact) {
+            if (!failed) {
+                failed = true;
+                done.add("failed");
+                throw new IllegalStateException("the test's");
+            }
+            heard.fact(fact);
+        }
+
+        @Override
+        public void member(Member member) {
+            heard.member(member);
+        }
+
+        @Override
+        public void stale(Fact.Key key) {
+            heard.stale(key);
+        }
+
+        @Override
+        public void stands(Order.Key key, Acting acting) {
+            heard.stands(key, acting);
+        }
+
+        @Override
+        public void level(boolean level) {
+            heard.level(level);
+        }
+    }
+}
