Give operators calls over the fleet, and obey its exclusions

Need: an exclusion at one proxy's door binds that proxy alone; operators want all proxies bound by one call, with an answer that says whether it stands, and a look at what the fleet knows.

Change: FleetLink, the one class that uses the fleet's types, hears the fleet on the serving loop; TakenOut unites who has a server out; the fleet's exclusions are kept in a folder of their own and outlive a restart; each proxy tells the others how it is, at most once a second. In an upgrade the new process joins when the old one has ended.

--- a/proxy/src/main/java/walkpost/proxy/Backends.java
+++ b/proxy/src/main/java/walkpost/proxy/Backends.java
@@ -121,9 +121,9 @@
         }
     }
 
-    /** Returns whether there is a backend to send to. */
-    boolean anyReady() {
-        return targets.values().stream().anyMatch(Target::open);
+    /** Returns how many backends there are to send to. */
+    int ready() {
+        return (int) targets.values().stream().filter(Target::open).count();
     }
 
     /**
--- a/proxy/src/main/java/walkpost/proxy/Exclusions.java
+++ b/proxy/src/main/java/walkpost/proxy/Exclusions.java
@@ -7,16 +7,18 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Base64;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
- * The backends that the operators have taken out. Each stands as an empty file in a folder, which outlives the process:
- * at an upgrade two processes serve as one, and a call to either binds both. A file is there or not, so neither needs
- * a lock, nor the word of the other. All of it runs on the one event loop.
+ * The backends that one party has taken out: the operators at this proxy's door, or the fleet. Each stands as an empty file in a folder,
+ * which outlives the process: at an upgrade two processes serve as one, and what either is told binds both. A file is there or not, so
+ * neither needs a lock, nor the word of the other. All of it runs on the one event loop.
  */
 final class Exclusions {
     /** A file name holds 255 bytes, and an id takes four for three of its own. */
@@ -35,15 +37,20 @@
 
     private final EventLoop loop;
     private final Log log = new Log("operators");
-    private final Proxy proxy;
+    private final TakenOut all;
     private final Path folder;
+    private final String by;
     private final Set<String> excluded = new HashSet<>();
+    /** What the folder should say and does not, as it could not be written: whether a backend is out, by its id. */
+    private final Map<String, Boolean> unkept = new HashMap<>();
     private boolean readable = true;
 
-    Exclusions(EventLoop loop, Proxy proxy, Path folder) {
+    /** Creates a party's exclusions, none at first; {@code by} is who it is, for the log. */
+    Exclusions(EventLoop loop, TakenOut all, Path folder, String by) {
         this.loop = loop;
-        this.proxy = proxy;
+        this.all = all;
         this.folder = folder;
+        this.by = by;
     }
 
     /** Takes over what stands already, and keeps looking for what the other process is told. */
@@ -54,62 +61,107 @@
 
     /** Takes a backend out; on return the exclusion stands and is obeyed. */
     void exclude(String id) throws Refused {
-        Path file = known(id);
+        known(id);
         try {
-            Files.createDirectories(folder);
-            if (!Files.exists(file)) {
-                Files.createFile(file);
-            }
+            write(id, true);
         } catch (IOException e) {
             throw new Refused("cannot be kept: " + e);
         }
         took(id);
     }
 
-    /** Gives a backend back, however often it was taken out. */
-    void include(String id) throws Refused {
-        Path file = known(id);
+    /** Gives a backend back, however often it was taken out; returns whether it is in use again, as no other party has it out. */
+    boolean include(String id) throws Refused {
+        known(id);
         try {
-            Files.deleteIfExists(file);
+            write(id, false);
         } catch (IOException e) {
             throw new Refused("cannot be undone: " + e);
         }
-        gave(id);
+        return gave(id);
+    }
+
+    /** Does as was decided elsewhere, whether or not the backend is known here and it can be kept. */
+    void obey(String id, boolean out) {
+        try {
+            write(id, out);
+            unkept.remove(id);
+        } catch (IOException e) {
+            if (unkept.put(id, out) == null) {
+                log.warn("exclusion_not_kept", "server", id, "by", by, "reason", e);
+            }
+        }
+        if (out) {
+            took(id);
+        } else {
+            gave(id);
+        }
+    }
+
+    /** Returns the ids of what this party has out. */
+    Set<String> standing() {
+        return Set.copyOf(excluded);
     }
 
-    private Path known(String id) throws Refused {
+    private void known(String id) throws Refused {
         // What the other process has been told since the last look is known as well.
         look();
-        if (id.getBytes(StandardCharsets.UTF_8).length > LONGEST_ID || !proxy.knowsBackend(id)) {
+        if (id.getBytes(StandardCharsets.UTF_8).length > LONGEST_ID || !all.knows(id)) {
             throw new Refused("no such tile server");
         }
-        return folder.resolve(name(id));
+    }
+
+    private void write(String id, boolean out) throws IOException {
+        Path file = folder.resolve(name(id));
+        if (!out) {
+            Files.deleteIfExists(file);
+        } else if (!Files.exists(file)) {
+            Files.createDirectories(folder);
+            Files.createFile(file);
+        }
+    }
+
+    private boolean written(String id, boolean out) {
+        try {
+            write(id, out);
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
     }
 
     private void took(String id) {
         if (excluded.add(id)) {
-            log.info("server_taken_out", "server", id);
-            proxy.excluded(id);
+            log.info("server_taken_out", "server", id, "by", by);
+            all.take(id, this);
         }
     }
 
-    private void gave(String id) {
+    private boolean gave(String id) {
         if (excluded.remove(id)) {
-            log.info("server_given_back", "server", id);
-            proxy.included(id);
+            log.info("server_given_back", "server", id, "by", by);
         }
+        return all.give(id, this);
     }
 
     private void look() {
-        Set<String> standing = standing();
+        unkept.entrySet().removeIf(e -> written(e.getKey(), e.getValue()));
+        Set<String> standing = onFile();
         if (standing != null) {
+            unkept.forEach((id, out) -> {
+                if (out) {
+                    standing.add(id);
+                } else {
+                    standing.remove(id);
+                }
+            });
             standing.forEach(this::took);
             List.copyOf(excluded).stream().filter(id -> !standing.contains(id)).forEach(this::gave);
         }
     }
 
     /** Returns the ids that stand in the folder; null where it can't be read, and what was told last holds on. */
-    private Set<String> standing() {
+    private Set<String> onFile() {
         var ids = new HashSet<String>();
         if (Files.exists(folder)) {
             try (var files = Files.newDirectoryStream(folder)) {
--- a/proxy/src/main/java/walkpost/proxy/Serve.java
+++ b/proxy/src/main/java/walkpost/proxy/Serve.java
@@ -11,6 +11,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -35,6 +36,10 @@
     private static final long READY_MS = 5_000;
     /** The folder, among what the process may write, where the exclusions stand. */
     private static final String EXCLUDED = "excluded";
+    /** The same for those of the fleet. */
+    private static final String EXCLUDED_BY_FLEET = "excluded-by-fleet";
+    /** What has been answered so long before the end, the last call, leaves time for a good-bye to the fleet. */
+    private static final long GOODBYE_MS = 300;
 
     private volatile Config config;
     private final Surroundings surroundings;
@@ -45,7 +50,10 @@
     private final Discovery discovery;
     private final Frontend frontend;
     private final Backends backends;
+    private final TakenOut takenOut;
     private final Exclusions exclusions;
+    /** Null where this proxy is in no fleet. */
+    private volatile FleetSide fleet;
     private boolean draining;
     private final CountDownLatch drained = new CountDownLatch(1);
 
@@ -68,7 +76,8 @@
         discovery = new Discovery(loop, proxy, config.discovery(), settings);
         proxy.discovery(discovery);
         frontend = new Frontend(clock, proxy, sockets, buffers, settings, this::available);
-        exclusions = new Exclusions(loop, proxy, surroundings.temp().resolve(EXCLUDED));
+        takenOut = new TakenOut(proxy);
+        exclusions = new Exclusions(loop, takenOut, surroundings.temp().resolve(EXCLUDED), "operators");
     }
 
     /**
@@ -102,7 +111,10 @@
     public static void rehearse() {
         try {
             Config config = Config.read(file());
-            Serve serve = new Serve(config, Surroundings.of(System.getenv(), config));
+            // Without the fleet: the archive is for all, and few are in one.
+            var environment = new HashMap<>(System.getenv());
+            environment.remove(Surroundings.FLEET);
+            Serve serve = new Serve(config, Surroundings.of(environment, config));
             serve.begin();
             serve.warmUp(Warmup.MOST_REQUESTS);
             serve.listen();
@@ -132,17 +144,26 @@
         Runtime.getRuntime().halt(2);
     }
 
-    /** Learns of the backends, and hears the operators; returns where, or null where they don't call. */
+    /** Learns of the backends, joins the fleet, and hears the operators; returns where, or null where they don't call. */
     InetSocketAddress begin() throws Config.BadConfig {
         loop.execute(() -> discovery.known(config.known()));
+        if (surroundings.fleet() != null) {
+            var ordered = new Exclusions(loop, takenOut, surroundings.temp().resolve(EXCLUDED_BY_FLEET), "fleet");
+            fleet = FleetLink.join(surroundings.fleet(), shared(), loop, clock, ordered, this::condition);
+        }
         if (surroundings.operator() == null) {
             return null;
         }
         loop.execute(exclusions::start);
-        var door = new OperatorDoor(frontend::ready, exclusions);
+        var door = new OperatorDoor(frontend::ready, exclusions, fleet);
         return bound("operator", () -> door.listen(loop, surroundings.operator()));
     }
 
+    private FleetSide.Condition condition() {
+        String version = Serve.class.getPackage().getImplementationVersion();
+        return new FleetSide.Condition(frontend.ready(), proxy.open(), backends.ready(), version == null ? "unknown" : version);
+    }
+
     /** Whether two processes serve at once during an upgrade, within the limits of one. */
     private boolean shared() {
         return surroundings.clients() != null;
@@ -177,7 +198,7 @@
     }
 
     private boolean available() {
-        return discovery.settled() && backends.anyReady();
+        return discovery.settled() && backends.ready() > 0;
     }
 
     private void watchForTheLast() {
@@ -222,6 +243,7 @@
     void drain() {
         long longestMs = config.settings().classes().stream().mapToLong(c -> c.deadlineUs()).max().orElse(0) / 1_000;
         long endMs = Math.min(longestMs, MOST_DEADLINE_MS) + KILL_MS;
+        long endAt = clock.now() + TimeUnit.MILLISECONDS.toMicros(endMs);
         loop.execute(() -> {
             draining = true;
             log.info("draining", "proxy", config.name());
@@ -243,15 +265,29 @@
             frontend.closeIdle();
         }, endMs - LAST_CALL_MS, TimeUnit.MILLISECONDS);
         try {
-            boolean all = drained.await(endMs, TimeUnit.MILLISECONDS);
+            boolean all = drained.await(endMs - GOODBYE_MS, TimeUnit.MILLISECONDS);
+            leave();
+            all = all || drained.await(endAt - clock.now(), TimeUnit.MICROSECONDS);
             log.info(all ? "drained" : "ends_with_clients", "proxy", config.name());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
+    /** Says good-bye to the fleet, as late as can be: what it orders meanwhile holds for those who are still served here. */
+    private void leave() throws InterruptedException {
+        if (fleet != null) {
+            var leaving = new Thread(fleet::close, "leave");
+            leaving.start();
+            leaving.join(GOODBYE_MS);
+        }
+    }
+
     /** Ends at once, whatever is still open. */
     void stop() {
+        if (fleet != null) {
+            fleet.close();
+        }
         loop.parent().shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
     }
 }
--- a/proxy/src/main/java/walkpost/proxy/Surroundings.java
+++ b/proxy/src/main/java/walkpost/proxy/Surroundings.java
@@ -12,8 +12,11 @@
  * @param operator where the operators call; null where they don't
  * @param temp the folder that the process may write to; what is left there outlives an upgrade
  * @param clients the socket at which clients come in, which other processes hold too; null where it is this one's own
+ * @param fleet makes this proxy a member of the fleet; null where it is none, and then nothing of the fleet is loaded
  */
-record Surroundings(InetSocketAddress operator, Path temp, ServerSocketChannel clients) {
+record Surroundings(InetSocketAddress operator, Path temp, ServerSocketChannel clients, FleetLink.Opener fleet) {
+    /** Names the fleet's file in the environment; the switch of all that the fleet is. */
+    static final String FLEET = "WALKPOST_FLEET";
 
     static Surroundings of(Map<String, String> environment, Config config) throws Config.BadConfig {
         String place = environment.getOrDefault("PROXY_OPERATOR", "");
@@ -23,7 +26,7 @@
         }
         String temp = environment.getOrDefault("TMPDIR", "");
         return new Surroundings(operator, Path.of(temp.isEmpty() ? System.getProperty("java.io.tmpdir") : temp),
-                inherited(environment.getOrDefault("PROXY_LISTEN_FD", "")));
+                inherited(environment.getOrDefault("PROXY_LISTEN_FD", "")), null);
     }
 
     private static ServerSocketChannel inherited(String descriptor) throws Config.BadConfig {
--- a/proxy/src/test/java/walkpost/proxy/Fixture.java
+++ b/proxy/src/test/java/walkpost/proxy/Fixture.java
@@ -63,7 +63,7 @@
 
     private Fixture(Function<Balancer.Settings, Balancer> factory, int sockets, long idleUs, Peer... backends)
             throws Exception {
-        this(factory, sockets, idleUs, new Surroundings(null, Path.of("/nonexistent"), null), backends);
+        this(factory, sockets, idleUs, new Surroundings(null, Path.of("/nonexistent"), null, null), backends);
     }
 
     /** One that the operators call, and that may write to a folder; it has the module that the test says, or its own. */
@@ -73,8 +73,14 @@
 
     /** The same, with clients that come over a socket which is not its own. */
     static Fixture sharing(ServerSocketChannel clients, Module module, Path temp, Peer... backends) throws Exception {
+        return inFleet(null, clients, module, temp, backends);
+    }
+
+    /** The same, as a member of a fleet. */
+    static Fixture inFleet(FleetLink.Opener fleet, ServerSocketChannel clients, Module module, Path temp, Peer... backends)
+            throws Exception {
         return new Fixture(module == null ? Policy::new : settings -> (now, event, actions) -> module.handle(event, actions),
-                1_024, 15_000_000, new Surroundings(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), temp, clients),
+                1_024, 15_000_000, new Surroundings(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), temp, clients, fleet),
                 backends);
     }
 
--- /dev/null
+++ b/proxy/src/test/java/walkpost/proxy/FleetLinkTest.java
@@ -0,0 +1,266 @@
+package walkpost.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Base64;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import walkpost.Balancer.Arrival;
+import walkpost.Balancer.AttemptEnded;
+import walkpost.Balancer.Event;
+import walkpost.Balancer.Excluded;
+import walkpost.Balancer.Fetch;
+import walkpost.Balancer.Included;
+import walkpost.Balancer.Members;
+import walkpost.Balancer.Outcome;
+import walkpost.Balancer.Send;
+import walkpost.fleet.FleetException;
+import walkpost.fleet.copy.Fact;
+import walkpost.fleet.copy.Order;
+import walkpost.fleet.member.Standing;
+
+/** A proxy in a fleet that the test plays: what operators may call, what it obeys and what it tells. */
+class FleetLinkTest {
+    private static final String OUT = "{\"out\":true}";
+    private static final long LONG_US = 3_600_000_000L;
+
+    @TempDir
+    private Path temp;
+    private final FakeFleet fleet = new FakeFleet(LONG_US);
+
+    private Fixture proxy(Peer... backends) throws Exception {
+        return Fixture.inFleet(() -> fleet, null, (event, actions) -> { }, temp, backends);
+    }
+
+    private static boolean changes(Event event) {
+        return event instanceof Excluded || event instanceof Included;
+    }
+
+    /** Half of the connection is closed by then, as some callers do, and the loop has others to serve. */
+    @Test
+    void anOrderIsAnsweredWhenItStandsAndHoldsUpNobody() throws Exception {
+        try (var backend = new Peer(); var proxy = proxy(backend); var out = proxy.door(); var back = proxy.door()) {
+            out.send("exclude s0 fleet o1 -\n").endSending();
+            FakeFleet.Given first = Peer.next(fleet.given);
+            assertThat(first).extracting("key", "id", "replaces", "payload")
+                    .containsExactly(new Order.Key("exclusion", "s0"), "o1", "", OUT);
+            back.send("include s0 fleet o2 o1\n");
+            FakeFleet.Given second = Peer.next(fleet.given);
+            assertThat(second).extracting("id", "replaces", "payload").containsExactly("o2", "o1", null);
+            assertThat(proxy.call("readyz\n")).isNotEmpty();
+            first.acknowledge(1);
+            assertThat(out.rest()).isEqualTo("SUCCESS s0 is taken out on the fleet, order=o1 version=1\n");
+            second.acknowledge(2);
+            assertThat(back.rest()).isEqualTo("SUCCESS s0 is given back on the fleet, order=o2 version=2\n");
+        }
+    }
+
+    @Test
+    void anOrderThatFailsIsAnsweredWithWhatIsToBeDone() throws Exception {
+        try (var proxy = proxy(); var door = proxy.door(); var late = proxy.door()) {
+            late.send("exclude s0 fleet o9\n");
+            assertThat(Peer.next(fleet.given).replaces()).isNull();
+            door.send("exclude s0 fleet o1 o0\n");
+            var why = new FleetException.Overtaken("o1", "o5");
+            Peer.next(fleet.given).end().completeExceptionally(why);
+            assertThat(door.rest()).isEqualTo("FAILURE " + why.getMessage() + "\n");
+            // One of which nothing is heard is answered all the same.
+            assertThat(late.rest()).startsWith("FAILURE o9 ").contains("send the same order again");
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"fleet now\n", "orders all\n", "facts\n", "facts a b\n", "exclude s0 fleet\n", "exclude s0 fleet -\n",
+        "exclude s0 float o1\n", "exclude s0 fleet o1 o0 more\n",
+        "exclude s0 fleet 1234567890123456789012345678901234567890123456789012345678901234X\n"})
+    void whatMakesNoSenseIsNotOrdered(String call) throws Exception {
+        try (var proxy = proxy()) {
+            assertThat(proxy.call(call)).matches("FAILURE [^\n]+\n");
+            assertThat(proxy.call("exclude " + "x".repeat(Exclusions.LONGEST_ID + 1) + " fleet o1\n")).startsWith("FAILURE");
+            assertThat(proxy.call("exclude " + "x".repeat(Exclusions.LONGEST_ID) + " fleet o1" + " ".repeat(200) + "\n"))
+                    .isEqualTo("FAILURE the line is too long\n");
+            assertThat(fleet.given).isEmpty();
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"fleet\n", "orders\n", "facts proxy\n", "exclude s0 fleet o1\n", "include s0 fleet o1 -\n"})
+    void withoutAFleetItSaysSo(String call) throws Exception {
+        try (var backend = new Peer(); var proxy = Fixture.operated((event, actions) -> { }, temp, backend)) {
+            assertThat(proxy.call(call)).startsWith("FAILURE ").contains("WALKPOST_FLEET");
+            assertThat(proxy.events).noneMatch(Excluded.class::isInstance);
+        }
+    }
+
+    private static JsonNode json(String answer) throws Exception {
+        assertThat(answer).startsWith("SUCCESS ").endsWith("\n");
+        return Config.JSON.readTree(answer.substring("SUCCESS ".length()));
+    }
+
+    @Test
+    void tellsOperatorsWhatItKnows() throws Exception {
+        fleet.member("n1", Standing.SUSPECT);
+        fleet.member("n0", Standing.ALIVE);
+        fleet.facts.add(new Fact(new Fact.Key("verdict", "s0", "n1"), 1, 4, "{\"late\":2}", LONG_US + 1_000));
+        fleet.facts.add(new Fact(new Fact.Key("verdict", "s1", "n1"), 1, 5, "no JSON", 2_500));
+        try (var proxy = proxy()) {
+            fleet.levels(true);
+            fleet.stands("s0", OUT, "o7");
+            assertThat(json(proxy.call("fleet\n"))).isEqualTo(Config.JSON.readTree("""
+                    {"name":"n0","level":true,"members":[
+                     {"name":"n0","standing":"ALIVE","incarnation":1,"address":"127.0.0.1:7401"},
+                     {"name":"n1","standing":"SUSPECT","incarnation":1,"address":"127.0.0.1:7401"}],"counters":{"sent":7}}"""));
+            assertThat(json(proxy.call("orders\n"))).isEqualTo(Config.JSON.readTree("""
+                    {"level":true,"orders":[{"topic":"exclusion","subject":"s0","payload":{"out":true},"id":"o1","version":3,
+                     "rivals":["o7"]}]}"""));
+            assertThat(json(proxy.call("facts verdict\n"))).isEqualTo(Config.JSON.readTree("""
+                    {"bound_ms":3600000,"facts":[
+                     {"subject":"s0","writer":"n1","payload":{"late":2},"age_ms":3600001,"stale":true},
+                     {"subject":"s1","writer":"n1","payload":"no JSON","age_ms":2,"stale":false}]}"""));
+        }
+    }
+
+    /** Out where either says so, in use again where neither does; and nobody hears of it more often than that. */
+    @Test
+    void aServerIsOutWhereTheDoorOrTheFleetSaysSo() throws Exception {
+        try (var backend = new Peer(); var proxy = proxy(backend)) {
+            assertThat(proxy.call("exclude s0\n")).startsWith("SUCCESS");
+            fleet.stands("s0", OUT);
+            assertThat(proxy.call("include s0\n")).isEqualTo("SUCCESS s0 is given back here, but the fleet has it out\n");
+            assertThat(proxy.call("exclude s0\n")).startsWith("SUCCESS");
+            fleet.stands("s0", null);
+            fleet.stands("s0", OUT);
+            fleet.stands("s0", "{\"of a later version\":1}");
+            assertThat(proxy.call("include s0\n")).contains("the fleet has it out");
+            assertThat(proxy.events.stream().filter(FleetLinkTest::changes)).containsExactly(new Excluded("s0"));
+            fleet.stands("s0", null);
+            assertThat(proxy.next(Included.class)).isEqualTo(new Included("s0"));
+            assertThat(proxy.call("exclude s0\n")).startsWith("SUCCESS");
+            assertThat(proxy.call("include s0\n")).isEqualTo("SUCCESS s0 is in use again\n");
+        }
+    }
+
+    /** One that has lost touch, or has just started, goes on as it was; once it is level, only what stands goes on. */
+    @Test
+    void whatItActedOnLastHoldsUntilItIsLevelAgain() throws Exception {
+        try (var backend = new Peer()) {
+            try (var proxy = proxy(backend)) {
+                fleet.levels(true);
+                fleet.stands("s0", OUT);
+                fleet.stands("s1", OUT);
+                assertThat(proxy.next(Excluded.class)).isEqualTo(new Excluded("s0"));
+                fleet.levels(false);
+                assertThat(proxy.call("include s0\n")).contains("the fleet has it out");
+            }
+            assertThat(fleet.left).isCompleted();
+            var again = new FakeFleet(LONG_US);
+            try (var proxy = Fixture.inFleet(() -> again, null, (event, actions) -> { }, temp, backend)) {
+                assertThat(proxy.next(Excluded.class).backend()).isIn("s0", "s1");
+                assertThat(proxy.next(Excluded.class).backend()).isIn("s0", "s1");
+                again.levels(false);
+                assertThat(proxy.call("include s0\n")).contains("the fleet has it out");
+                again.stands("s1", OUT);
+                again.levels(true);
+                assertThat(proxy.next(Included.class)).isEqualTo(new Included("s0"));
+                assertThat(proxy.call("include s1\n")).contains("the fleet has it out");
+            }
+        }
+    }
+
+    @Test
+    void aServerThatIsNotListedYetIsOutFromItsFirstMoment() throws Exception {
+        var asked = new AtomicBoolean();
+        try (var late = new Peer(); var proxy = Fixture.inFleet(() -> fleet, null, (event, actions) -> {
+            if (event instanceof Excluded && !asked.getAndSet(true)) {
+                actions.accept(new Fetch());
+            } else if (event instanceof Arrival a) {
+                actions.accept(new Send(a.id(), "s9", 0));
+            }
+        }, temp); var client = proxy.client()) {
+            proxy.discovery.always(Peer.ok(Fixture.list(42, true, Fixture.entry("s9", late.address(), "ready"))));
+            fleet.stands("s9", OUT);
+            Members news = proxy.next(Members.class);
+            while (news.backends().isEmpty()) {
+                news = proxy.next(Members.class);
+            }
+            client.send(Fixture.get("r1"));
+            assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(Outcome.NOT_SENT);
+        }
+    }
+
+    /** What cannot be kept is obeyed all the same, as the fleet has decided it. */
+    @Test
+    void whatCannotBeKeptIsObeyed() throws Exception {
+        Files.createFile(temp.resolve("excluded-by-fleet"));
+        try (var backend = new Peer(); var proxy = proxy(backend)) {
+            fleet.stands("s0", OUT);
+            assertThat(proxy.next(Excluded.class)).isEqualTo(new Excluded("s0"));
+            Files.delete(temp.resolve("excluded-by-fleet"));
+            Path file = temp.resolve("excluded-by-fleet").resolve(Base64.getUrlEncoder().withoutPadding()
+                    .encodeToString("s0".getBytes(StandardCharsets.UTF_8)));
+            while (!Files.exists(file)) {
+                Thread.onSpinWait();
+            }
+            assertThat(proxy.events).noneMatch(Included.class::isInstance);
+        }
+    }
+
+    /** At an upgrade the old process has the address: the new one obeys what that one keeps, and joins when it has ended. */
+    @Test
+    void joinsOnceTheOtherProcessHasLeftTheAddress() throws Exception {
+        var ended = new CompletableFuture<Void>();
+        var anywhere = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        try (var backend = new Peer(); var socket = ServerSocketChannel.open().bind(anywhere);
+                var old = proxy(backend); var proxy = Fixture.inFleet(() -> {
+                    if (!ended.isDone()) {
+                        throw new FleetException.AddressTaken("127.0.0.1:7401", "in use");
+                    }
+                    return new FakeFleet(LONG_US);
+                }, socket, (event, actions) -> { }, temp, backend)) {
+            assertThat(proxy.call("fleet\n")).startsWith("FAILURE can't listen at 127.0.0.1:7401");
+            fleet.stands("s0", OUT);
+            assertThat(proxy.next(Excluded.class)).isEqualTo(new Excluded("s0"));
+            old.drain();
+            fleet.left.join();
+            ended.complete(null);
+            while (!proxy.call("fleet\n").startsWith("SUCCESS")) {
+                Thread.onSpinWait();
+            }
+            assertThat(proxy.events).noneMatch(Included.class::isInstance);
+        }
+    }
+
+    /** At most once a second, and then only what is news, or would soon be too old to be acted on. */
+    @Test
+    void tellsTheOthersHowItIs() throws Exception {
+        try (var backend = new Peer(); var proxy = proxy(backend)) {
+            String first = Peer.next(fleet.told);
+            assertThat(first).matches("proxy n0 \\{\"ready\":(true|false),\"open\":0,\"servers\":[01],\"version\":\"unknown\"}");
+            assertThat(proxy.call("exclude s0\n")).startsWith("SUCCESS");
+            String next = Peer.next(fleet.told);
+            while (!next.contains("\"servers\":0")) {
+                assertThat(next).isNotEqualTo(first);
+                first = next;
+                next = Peer.next(fleet.told);
+            }
+            assertThat(next).isNotEqualTo(first).contains("\"ready\":false");
+        }
+        var brief = new FakeFleet(0);
+        try (var proxy = Fixture.inFleet(() -> brief, null, (event, actions) -> { }, temp)) {
+            assertThat(proxy.call("facts proxy\n")).startsWith("SUCCESS");
+            String told = Peer.next(brief.told);
+            assertThat(Peer.next(brief.told)).isEqualTo(told);
+        }
+    }
+}
--- a/proxy/src/test/java/walkpost/proxy/Program.java
+++ b/proxy/src/test/java/walkpost/proxy/Program.java
@@ -6,7 +6,9 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Pattern;
 
@@ -34,9 +36,17 @@
 
     /** Starts it with a folder of its own, which holds its configuration and whatever it leaves there. */
     Program(Path dir, ObjectNode config) throws IOException {
+        this(dir, config, Map.of());
+    }
+
+    /** The same with more in its environment, and with options for the virtual machine. */
+    Program(Path dir, ObjectNode config, Map<String, String> environment, String... options) throws IOException {
         file = dir.resolve("config.json");
         configure(config);
-        var command = new ProcessBuilder(SERVE).redirectErrorStream(true);
+        var words = new ArrayList<>(SERVE);
+        words.addAll(1, List.of(options));
+        var command = new ProcessBuilder(words).redirectErrorStream(true);
+        command.environment().putAll(environment);
         command.environment().put("PROXY_CONFIG", file.toString());
         command.environment().put("TMPDIR", dir.toString());
         process = command.start();
@@ -56,6 +66,19 @@
         new ProcessBuilder("sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor();
     }
 
+    /** Waits for all lines of its log up to one that a pattern is found in. */
+    List<String> linesUpTo(String pattern) {
+        var lines = new ArrayList<String>();
+        var last = Pattern.compile(pattern).asPredicate();
+        log.lines().lines().peek(lines::add).anyMatch(last);
+        return lines;
+    }
+
+    /** Waits for its end; returns its exit status. */
+    int status() throws InterruptedException {
+        return process.waitFor();
+    }
+
     boolean ended() throws InterruptedException {
         return process.waitFor(0, TimeUnit.SECONDS);
     }
