Make a proxy a member where WALKPOST_FLEET names a file

Need: the fleet is off unless it is asked for, and then it may cost a start nothing.

Change: Surroundings reads the variable; a file that makes no sense, or an address that is taken, ends the start with bad_configuration and status 2; the fleet's descriptors are taken off the proxy's.

A test reads off the classes a start loads: none of walkpost.fleet with the fleet off.

--- a/proxy/src/main/java/walkpost/proxy/FleetLink.java
+++ b/proxy/src/main/java/walkpost/proxy/FleetLink.java
@@ -7,6 +7,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
@@ -22,6 +23,7 @@
 import walkpost.fleet.copy.Order;
 import walkpost.fleet.member.Member;
 import walkpost.fleet.member.Standing;
+import walkpost.fleet.shell.Fleet;
 import walkpost.fleet.shell.FleetHandle;
 import walkpost.fleet.shell.FleetListener;
 
@@ -34,6 +36,8 @@
     static final String EXCLUSION = "exclusion";
     /** The topic of facts whose subject is the proxy that tells them. */
     static final String PROXY = "proxy";
+    /** What a membership takes of the process's descriptors. */
+    static final int MOST_DESCRIPTORS = Fleet.MOST_DESCRIPTORS;
     /** An order's id, in bytes. */
     static final int LONGEST_ORDER = 64;
     private static final String OUT = "{\"out\":true}";
@@ -68,6 +72,11 @@
         this.condition = condition;
     }
 
+    /** Returns what joins the fleet that a file describes. */
+    static Opener opener(Path file, Map<String, String> environment) {
+        return () -> Fleet.open(file, environment);
+    }
+
     /**
      * Joins the fleet. Where another process serves in this place it may have the fleet's address and directory: then this one joins when
      * that has ended, and obeys until then what the other one keeps in the exclusions' folder.
--- a/proxy/src/main/java/walkpost/proxy/Serve.java
+++ b/proxy/src/main/java/walkpost/proxy/Serve.java
@@ -69,7 +69,9 @@
         }
         loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         var settings = config.settings();
-        var sockets = shared() ? Sockets.halfOf(config.sockets()) : new Sockets(config.sockets());
+        // A constant: to read it loads nothing.
+        int descriptors = config.sockets() - (surroundings.fleet() == null ? 0 : FleetLink.MOST_DESCRIPTORS);
+        var sockets = shared() ? Sockets.halfOf(descriptors) : new Sockets(descriptors);
         var buffers = new Buffers(config.memory() / (shared() ? 2 * BUFFERS_PART : BUFFERS_PART));
         backends = new Backends(clock, loop, NioSocketChannel.class, sockets, buffers, config.connIdleUs(), config.connectTimeoutUs());
         proxy = new Proxy(clock, loop, module, backends);
--- a/proxy/src/main/java/walkpost/proxy/Surroundings.java
+++ b/proxy/src/main/java/walkpost/proxy/Surroundings.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.Map;
 
 /**
@@ -26,7 +27,17 @@
         }
         String temp = environment.getOrDefault("TMPDIR", "");
         return new Surroundings(operator, Path.of(temp.isEmpty() ? System.getProperty("java.io.tmpdir") : temp),
-                inherited(environment.getOrDefault("PROXY_LISTEN_FD", "")), null);
+                inherited(environment.getOrDefault("PROXY_LISTEN_FD", "")), fleet(environment, config));
+    }
+
+    private static FleetLink.Opener fleet(Map<String, String> environment, Config config) {
+        String file = environment.getOrDefault(FLEET, "");
+        if (file.isEmpty()) {
+            return null;
+        }
+        var named = new HashMap<>(environment);
+        named.putIfAbsent("PROXY_NAME", config.name());
+        return FleetLink.opener(Path.of(file), named);
     }
 
     private static ServerSocketChannel inherited(String descriptor) throws Config.BadConfig {
--- /dev/null
+++ b/proxy/src/test/java/walkpost/proxy/FleetSwitchTest.java
@@ -0,0 +1,77 @@
+package walkpost.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The switch of the fleet, at the program as it runs. */
+class FleetSwitchTest {
+    private static final String LOADED = "-Xlog:class+load";
+
+    @TempDir
+    private Path dir;
+
+    private Map<String, String> fleet(String bind) throws Exception {
+        Files.writeString(dir.resolve("fleet.key"), "a secret of 16 bytes, and more");
+        Path file = Files.writeString(dir.resolve("fleet.toml"), """
+                format = 1
+                cluster = "gent"
+                bind = "%s"
+                members = ["n0"]
+                seeds = []
+                secret = "fleet.key"
+                """.formatted(bind));
+        return Map.of(Surroundings.FLEET, file.toString());
+    }
+
+    private static ObjectNode config() throws Exception {
+        return Fixture.config();
+    }
+
+    private List<String> start(Map<String, String> environment) throws Exception {
+        try (var program = new Program(dir, config(), environment, LOADED)) {
+            List<String> lines = program.linesUpTo(" INFO serve listening ");
+            assertThat(lines).anyMatch(line -> line.contains("walkpost.proxy.Serve "));
+            assertThat(lines.get(lines.size() - 1)).contains(" INFO serve listening ");
+            return lines;
+        }
+    }
+
+    @Test
+    void nothingOfTheFleetIsLoadedWhereItIsOff() throws Exception {
+        assertThat(start(Map.of())).noneMatch(line -> line.contains("walkpost.fleet.") || line.contains("FleetLink"));
+    }
+
+    @Test
+    void aProxyIsAMemberWhereAFileIsNamed() throws Exception {
+        assertThat(start(fleet("127.0.0.1:0"))).anyMatch(line -> line.contains("walkpost.fleet.shell.Fleet "));
+    }
+
+    @Test
+    void aFileThatMakesNoSenseIsTold() throws Exception {
+        try (var program = new Program(dir, config(), fleet("nowhere"))) {
+            assertThat(program.line("bad_configuration")).contains("WALKPOST_FLEET").contains("fleet.toml").contains("bind");
+            assertThat(program.status()).isEqualTo(2);
+        }
+    }
+
+    @Test
+    void anAddressThatIsTakenIsTold() throws Exception {
+        try (var tcp = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                var udp = new DatagramSocket(new InetSocketAddress(InetAddress.getLoopbackAddress(), tcp.getLocalPort()));
+                var program = new Program(dir, config(), fleet("127.0.0.1:" + udp.getLocalPort()))) {
+            assertThat(program.line("bad_configuration")).contains("WALKPOST_FLEET").contains("can't listen at");
+            assertThat(program.status()).isEqualTo(2);
+        }
+    }
+}
