Play fleets whose proxies are members of each other, and judge what their doors say

Need: facts and orders that proxies hold together promise what no single proxy shows, and no experiment played what they are promised under.

Change: members = true gives each proxy a fleet file, the secret and a door, and puts the mesh between them; part and link are faults between members, keep = false takes a directory away; calls at doors are planned and polled, and stand in the ledger. Seven rules judge them from the ledger alone: order_lost, rivals_lost, order_by_itself, copies_differ, exclusion_ignored, member_unseen, fact_too_old.

Measured: each rule is found broken in a doctored ledger, and kept where something explains what is seen (CopyRulesTest).

--- a/lab/src/main/java/walkpost/lab/ledger/Seen.java
+++ b/lab/src/main/java/walkpost/lab/ledger/Seen.java
@@ -19,7 +19,10 @@
     @JsonSubTypes.Type(value = Seen.Called.class, name = "called"), @JsonSubTypes.Type(value = Seen.Told.class, name = "told"),
     @JsonSubTypes.Type(value = Seen.Listed.class, name = "listed"), @JsonSubTypes.Type(value = Seen.ProxyIs.class, name = "proxy"),
     @JsonSubTypes.Type(value = Seen.FaultIs.class, name = "fault"), @JsonSubTypes.Type(value = Seen.PeerIs.class, name = "peer"),
-    @JsonSubTypes.Type(value = Seen.Used.class, name = "used"), @JsonSubTypes.Type(value = Seen.Sampled.class, name = "sampled"), @JsonSubTypes.Type(value = Seen.Finished.class, name = "finished")})
+    @JsonSubTypes.Type(value = Seen.Used.class, name = "used"), @JsonSubTypes.Type(value = Seen.Sampled.class, name = "sampled"), @JsonSubTypes.Type(value = Seen.Finished.class, name = "finished"),
+    @JsonSubTypes.Type(value = Seen.DoorCalled.class, name = "door_called"),
+    @JsonSubTypes.Type(value = Seen.DoorAnswered.class, name = "door_answered"),
+    @JsonSubTypes.Type(value = Seen.CopyGone.class, name = "copy_gone")})
 public sealed interface Seen {
     /** Returns the moment. */
     long t();
@@ -114,6 +117,15 @@
     /** A peer was done. */
     record PeerIs(long t, int proxy, long sinceUs, boolean silent, Got got) implements Seen { }
 
+    /** A line was written to a proxy's door. {@code call} is a number of its own. */
+    record DoorCalled(long t, long call, int proxy, String line) implements Seen { }
+
+    /** A call at a door ended: with the line that came, or with {@code whole} false and why none did. */
+    record DoorAnswered(long t, long call, int proxy, boolean whole, String line) implements Seen { }
+
+    /** A member's new life finds nothing of the copy that its former lives held. */
+    record CopyGone(long t, int proxy) implements Seen { }
+
     /** What a proxy had used by now. */
     record Used(long t, int proxy, long cpuMs, long memoryKb, int descriptors) implements Seen { }
 
--- a/lab/src/main/java/walkpost/lab/play/Faults.java
+++ b/lab/src/main/java/walkpost/lab/play/Faults.java
@@ -67,6 +67,10 @@
                 fleet.isolate(proxy, fault.from(), true);
                 after(fault.lengthUs(), () -> fleet.isolate(proxy, fault.from(), false));
             });
+            case PART, LINK -> {
+                fleet.net().begin(planned);
+                after(fault.lengthUs(), () -> fleet.net().end(planned));
+            }
             case SLOW -> eachPlace(planned, s -> s.slowDown(fault.size()), s -> s.slowDown(1));
             case ERRORS -> eachPlace(planned, s -> s.fail(fault.size()), s -> s.fail(-1));
             case CUT -> eachPlace(planned, s -> s.silence(true, true), s -> s.silence(false, false));
@@ -118,6 +122,9 @@
 
     private void back(Scenario.Fault fault, int proxy) {
         if (fault.backUs() >= 0) {
+            if (!fault.keep()) {
+                fleet.net().empty(proxy);
+            }
             after(fault.backUs(), () -> {
                 if (fault.other()) {
                     fleet.becomeOther(proxy);
--- a/lab/src/main/java/walkpost/lab/play/Fleet.java
+++ b/lab/src/main/java/walkpost/lab/play/Fleet.java
@@ -34,6 +34,9 @@
     private final List<ReadyWatch> watches = new ArrayList<>();
     private final Front front;
     private final Clients clients;
+    /** Null where proxies are no members of each other. */
+    private final MemberNet net;
+    private final Doors doors;
     private long lives;
 
     /**
@@ -71,6 +74,8 @@
             known.add(Loops.on(loop, () -> discovery.known(of)));
             watches.add(new ReadyWatch(stage, front, number, proxy.address()));
         }
+        net = direct || stage.scenario().fleet().members() == null ? null : new MemberNet(stage, proxies);
+        doors = net == null ? null : new Doors(stage, net.doors(), proxy -> proxies.get(proxy).alive());
         var addresses = new ArrayList<>(proxies.stream().map(ProxyProcess::address).toList());
         for (int place = 0; direct && place < places; place++) {
             addresses.add(stands.get(place).address(place));
@@ -89,6 +94,9 @@
     void start(int proxy) {
         InetSocketAddress listen = proxies.get(proxy).address();
         try {
+            if (net != null) {
+                net.beforeLife(proxy);
+            }
             proxies.get(proxy).start(seed -> ProxySettings.of(stage.scenario(), proxy, listen, discovery.address(proxy),
                     known.get(proxy), seed), stage.streams().of("life " + lives++ + " of proxy " + proxy).nextLong());
         } catch (IOException e) {
@@ -101,6 +109,18 @@
         proxies.get(proxy).become(other);
     }
 
+    /** Returns what is between members; null where there are none. */
+    MemberNet net() {
+        return net;
+    }
+
+    /** Begins to ask at the doors of members, and to make the calls that are planned. */
+    void call(Timeline timeline) {
+        if (doors != null) {
+            doors.begin(timeline);
+        }
+    }
+
     /** Begins to ask the proxies whether they are ready. */
     void watch() {
         watches.forEach(ReadyWatch::start);
@@ -155,6 +175,12 @@
     @Override
     public void close() {
         watches.forEach(ReadyWatch::stop);
+        if (net != null) {
+            doors.stop();
+        }
         proxies.forEach(ProxyProcess::kill);
+        if (net != null) {
+            net.close();
+        }
     }
 }
--- a/lab/src/main/java/walkpost/lab/play/Play.java
+++ b/lab/src/main/java/walkpost/lab/play/Play.java
@@ -120,6 +120,7 @@
         stage.clientLoops().watch();
         var timeline = new Timeline();
         var faults = new Faults(stage, fleet, timeline);
+        fleet.call(timeline);
         plan.peers().forEach(peer -> timeline.at(peer.dueUs(), () -> rude(stage, fleet, peer)));
         for (long t = 0; t <= scenario.lengthUs(); t += SECOND) {
             long at = t;
--- a/lab/src/main/java/walkpost/lab/process/ProxyProcess.java
+++ b/lab/src/main/java/walkpost/lab/process/ProxyProcess.java
@@ -8,6 +8,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.function.LongFunction;
 import java.util.stream.Stream;
@@ -26,6 +27,7 @@
     private final InetSocketAddress address;
     private final Path folder;
     private final Path log;
+    private Map<String, String> more = Map.of();
     private Child child;
     private volatile boolean expected;
 
@@ -52,30 +54,46 @@
         return address;
     }
 
+    /** Returns the folder of this place, which outlives its processes. */
+    public Path folder() {
+        return folder;
+    }
+
+    /** Tells all lives that begin from now on some variables more. */
+    public void tell(Map<String, String> variables) {
+        more = Map.copyOf(variables);
+    }
+
     /** Starts a process with an empty folder; {@code settings} makes its configuration from a seed. */
     public void start(LongFunction<ObjectNode> settings, long seed) throws IOException {
         Path temp = folder.resolve("tmp");
-        if (Files.exists(temp)) {
-            try (Stream<Path> files = Files.walk(temp)) {
-                for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
-                    Files.delete(file);
-                }
-            }
-        }
+        remove(temp);
         Files.createDirectories(temp);
         Path config = folder.resolve("config.json");
         Files.writeString(config, settings.apply(seed).toString());
         expected = false;
         int core = Cores.first(folder.getParent()) + number;
-        child = Child.start(program, core, Map.of("PROXY_NAME", "n" + number, "PROXY_LISTEN", text(address), "PROXY_CONFIG",
-                config.toString(), "TMPDIR", temp.toString(), Board.VARIABLE,
-                folder.getParent().resolve("board").toString()), log);
+        var environment = new HashMap<>(more);
+        environment.putAll(Map.of("PROXY_NAME", "n" + number, "PROXY_LISTEN", text(address), "PROXY_CONFIG", config.toString(),
+                "TMPDIR", temp.toString(), Board.VARIABLE, folder.getParent().resolve("board").toString()));
+        child = Child.start(program, core, environment, log);
         note(Seen.Life.STARTED, program.name() + ", pid " + child.pid());
         Child started = child;
         child.ended().thenAccept(status -> note(Seen.Life.ENDED, expected ? "status " + status
                 : "status " + status + ", by itself: " + started.lastWords()));
     }
 
+    /** Removes a folder with all that is in it, where there is one. */
+    static void remove(Path directory) throws IOException {
+        if (Files.exists(directory)) {
+            try (Stream<Path> files = Files.walk(directory)) {
+                for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                    Files.delete(file);
+                }
+            }
+        }
+    }
+
     private static String text(InetSocketAddress address) {
         return address.getAddress().getHostAddress() + ":" + address.getPort();
     }
--- a/lab/src/main/java/walkpost/lab/relay/Mesh.java
+++ b/lab/src/main/java/walkpost/lab/relay/Mesh.java
@@ -125,6 +125,16 @@
         changed(from, to);
     }
 
+    /** What passes on one way from now on passes under these conditions. */
+    public void become(int from, int to, Conditions conditions) {
+        ways[from][to].become(conditions);
+    }
+
+    /** Returns whether nothing passes on one way. */
+    public boolean silent(int from, int to) {
+        return ways[from][to].silent();
+    }
+
     /** Lets nothing pass between any of some and any of others, either way. */
     public void part(Set<Integer> some, Set<Integer> others) {
         for (int one : some) {
--- a/lab/src/main/java/walkpost/lab/relay/Way.java
+++ b/lab/src/main/java/walkpost/lab/relay/Way.java
@@ -8,7 +8,7 @@
  * knows no sockets. Owned by the relay's loop.
  */
 final class Way {
-    private final Conditions conditions;
+    private Conditions conditions;
     private final UniformRandomProvider random;
     private long busyUntilUs = Long.MIN_VALUE;
     private long lastOutUs = Long.MIN_VALUE;
@@ -24,6 +24,11 @@
         silent = now;
     }
 
+    /** What is handed in from now on passes under these conditions. */
+    void become(Conditions next) {
+        conditions = next;
+    }
+
     boolean silent() {
         return silent;
     }
--- a/lab/src/main/java/walkpost/lab/scenario/Planner.java
+++ b/lab/src/main/java/walkpost/lab/scenario/Planner.java
@@ -43,6 +43,11 @@
                 planner.peers());
     }
 
+    /** Returns what a planned call says, with the ids of the servers that it names by number. */
+    public static String line(Members.Call call, Plan plan) {
+        return MembersReader.line(call, plan.servers());
+    }
+
     private void drawClasses() {
         UniformRandomProvider random = streams.of("classes");
         for (Scenario.RequestClass c : scenario.classes()) {
@@ -77,7 +82,7 @@
             Scenario.Fault fault = scenario.faults().get(number);
             UniformRandomProvider random = streams.of("fault " + number + " " + fault.act());
             List<Integer> hits = switch (fault.act()) {
-                case KILL, TERM, STOP, HUP, ISOLATE -> hits(random, fault.target(), proxies);
+                case KILL, TERM, STOP, HUP, ISOLATE, PART, LINK -> hits(random, fault.target(), proxies);
                 case SLOW, ERRORS, CUT, MUTE, RESET, DRAIN, RESTART -> hits(random, fault.target(), atStart);
                 case JOIN -> newcomers(random, number, hits(random, fault.target(), atStart).size());
                 case HEAVY, DISCOVERY, BURST -> List.of();
--- a/lab/src/main/java/walkpost/lab/scenario/Scenario.java
+++ b/lab/src/main/java/walkpost/lab/scenario/Scenario.java
@@ -24,8 +24,9 @@
      * @param sockets how many descriptors it is told to get by with
      * @param cores the part of a core it is told to have
      * @param heap what its virtual machine may take for objects; 0 for what it is deployed with
+     * @param members what they are told where they are members of each other; null where they are not
      */
-    public record Fleet(int proxies, List<String> zones, long memory, int sockets, double cores, long heap) { }
+    public record Fleet(int proxies, List<String> zones, long memory, int sockets, double cores, long heap, Members members) { }
 
     /**
      * A kind of tile server.
@@ -128,6 +129,10 @@
         HUP,
         /** Nothing passes between proxies and the parties that the fault names, for {@code length}. */
         ISOLATE,
+        /** Nothing passes between groups of proxies that are members of each other, for {@code length}. */
+        PART,
+        /** Ways between proxies that are members of each other are bad for {@code length}. */
+        LINK,
         /** Servers work {@code size} times slower for {@code length}. */
         SLOW,
         /** Servers fail a {@code size} of their requests at once, for {@code length}. */
@@ -149,7 +154,15 @@
         /** Discovery answers nobody for {@code length}. */
         DISCOVERY,
         /** The rate is {@code times} what it was, for {@code length}. */
-        BURST
+        BURST;
+
+        /** Returns whether it hits proxies, or what is between them. */
+        public boolean hitsProxies() {
+            return switch (this) {
+                case KILL, TERM, STOP, HUP, ISOLATE, PART, LINK -> true;
+                default -> false;
+            };
+        }
     }
 
     /** Whom a proxy can be cut off from; the front is where clients are. */
@@ -176,9 +189,11 @@
      * @param stepUs between one target and the next
      * @param from whom proxies are cut off from
      * @param other whether proxies come back as the play's other program
+     * @param keep whether proxies that come back find their directory of orders
+     * @param between what it does between members; null where it does nothing there
      */
     public record Fault(Act act, When when, Target target, long lengthUs, long backUs, long stepUs, double size, double times,
-            String requestClass, List<Party> from, boolean other) { }
+            String requestClass, List<Party> from, boolean other, boolean keep, Between between) { }
 
     /** Peers that don't behave: how many a second send nothing, and how many send what is no request. */
     public record Peers(double silent, double improper) { }
--- a/lab/src/main/java/walkpost/lab/scenario/ScenarioReader.java
+++ b/lab/src/main/java/walkpost/lab/scenario/ScenarioReader.java
@@ -110,7 +110,6 @@
         if (length < SECOND) {
             throw t.wrong("length", "1s or more");
         }
-        Scenario.Fleet fleet = fleet(t.table("fleet"));
         var kinds = new ArrayList<Scenario.Kind>();
         for (Table kind : t.tables("servers")) {
             kinds.add(kind(kind));
@@ -138,9 +137,10 @@
         if (servers > MOST_SERVERS) {
             throw t.wrong("servers", "at most " + MOST_SERVERS + " of all kinds");
         }
+        Scenario.Fleet fleet = fleet(t, t.table("fleet"), servers, length);
         var faults = new ArrayList<Scenario.Fault>();
         for (Table fault : t.tables("faults")) {
-            faults.add(fault(fault, fleet.proxies(), servers, length, classes));
+            faults.add(fault(fault, fleet, servers, length, classes));
         }
         Table peers = t.table("peers");
         Table expect = t.table("expect");
@@ -154,6 +154,7 @@
         peers.done();
         expect.done();
         t.done();
+        MembersReader.leavesTime(t, scenario);
         return scenario;
     }
 
@@ -166,10 +167,11 @@
         }
     }
 
-    private static Scenario.Fleet fleet(Table t) throws BadScenario {
-        var fleet = new Scenario.Fleet(t.whole("proxies", 1, MOST_PROXIES), t.texts("zones", List.of("gent-cellar")),
+    private static Scenario.Fleet fleet(Table whole, Table t, int servers, long length) throws BadScenario {
+        int proxies = t.whole("proxies", 1, MOST_PROXIES);
+        var fleet = new Scenario.Fleet(proxies, t.texts("zones", List.of("gent-cellar")),
                 t.size("memory", 192L << 20), t.whole("sockets", 128, 65_536, 1_024), t.number("cores", 0.05, 8, 1),
-                t.size("heap", 0));
+                t.size("heap", 0), MembersReader.members(whole, t, proxies, servers, length));
         t.done();
         return fleet;
     }
@@ -247,9 +249,14 @@
         return rules;
     }
 
-    private static Scenario.Fault fault(Table t, int proxies, int servers, long length, List<Scenario.RequestClass> classes)
+    private static Scenario.Fault fault(Table t, Scenario.Fleet fleet, int servers, long length, List<Scenario.RequestClass> classes)
             throws BadScenario {
         Act act = t.word("act", Act.class);
+        int proxies = fleet.proxies();
+        boolean between = act == Act.PART || act == Act.LINK;
+        if (between && fleet.members() == null) {
+            throw t.wrong("act", "'members = true' under [fleet]: there is nothing between others");
+        }
         boolean onProxies = switch (act) {
             case KILL, TERM, STOP, HUP, ISOLATE -> true;
             default -> false;
@@ -258,19 +265,20 @@
             case SLOW, ERRORS, CUT, MUTE, RESET, DRAIN, RESTART, JOIN -> true;
             default -> false;
         };
-        Scenario.Target target = onProxies ? target(t, "proxies", proxies) : onServers ? target(t, "servers", servers)
-                : new Scenario.Target(1, List.of());
+        Scenario.Target target = between ? MembersReader.target(t, act, proxies) : onProxies ? target(t, "proxies", proxies)
+                : onServers ? target(t, "servers", servers) : new Scenario.Target(1, List.of());
         boolean lasts = !(act == Act.KILL || act == Act.TERM || act == Act.HUP || act == Act.JOIN);
         boolean shared = act == Act.ERRORS || act == Act.HEAVY;
         boolean sized = shared || act == Act.SLOW || act == Act.RESET;
         boolean timed = act == Act.HEAVY || act == Act.BURST;
         boolean returns = act == Act.KILL || act == Act.TERM || act == Act.DRAIN;
         var fault = new Scenario.Fault(act, when(t, proxies, length), target, lasts ? t.duration("length") : 0,
-                returns ? t.duration("back", -1) : -1, target.listed().isEmpty() && !onProxies && !onServers ? 0 : t.duration("step", 0),
+                returns ? t.duration("back", -1) : -1, onProxies || onServers ? t.duration("step", 0) : 0,
                 sized ? t.number("size", shared ? 0 : 0.01, shared ? 1 : 1_000) : 0,
                 timed ? t.number("times", 0.01, 1_000) : 1, act == Act.HEAVY ? t.text("class") : "",
                 act == Act.ISOLATE ? t.words("from", Scenario.Party.class) : List.of(),
-                onProxies && returns && t.flag("other", false));
+                onProxies && returns && t.flag("other", false), !(onProxies && returns) || MembersReader.keep(t, fleet),
+                MembersReader.between(t, act, proxies));
         if (act == Act.HEAVY && classes.stream().noneMatch(c -> c.name().equals(fault.requestClass()))) {
             throw t.wrong("class", "one of " + classes.stream().map(Scenario.RequestClass::name).toList());
         }
--- a/lab/src/main/java/walkpost/lab/scenario/Table.java
+++ b/lab/src/main/java/walkpost/lab/scenario/Table.java
@@ -216,6 +216,30 @@
         return node.path(field).isArray();
     }
 
+    /** Reads a list of lists of whole numbers. */
+    List<List<Integer>> wholeLists(String field, int least, int most) throws BadScenario {
+        known.add(field);
+        var lists = new ArrayList<List<Integer>>();
+        for (JsonNode list : node.path(field)) {
+            var wholes = new ArrayList<Integer>();
+            for (JsonNode value : list) {
+                if (!value.isIntegralNumber() || value.asLong() < least || value.asLong() > most) {
+                    throw wrong(field, "lists of whole numbers from " + least + " to " + most);
+                }
+                wholes.add(value.asInt());
+            }
+            lists.add(List.copyOf(wholes));
+        }
+        return List.copyOf(lists);
+    }
+
+    /** Returns the names of all fields, as people gave them: for tables whose names are theirs to choose. */
+    List<String> names() {
+        var names = new ArrayList<String>();
+        node.fieldNames().forEachRemaining(names::add);
+        return List.copyOf(names);
+    }
+
     /** Returns the table of a name; an empty one where the file leaves it out. */
     Table table(String field) throws BadScenario {
         if (!has(field)) {
--- a/lab/src/main/java/walkpost/lab/verdict/Verdict.java
+++ b/lab/src/main/java/walkpost/lab/verdict/Verdict.java
@@ -45,6 +45,7 @@
         new RequestRules(evidence, breaks::add).check();
         new ServerRules(evidence, breaks::add).check();
         new ProcessRules(evidence, breaks::add).check();
+        CopyRules.check(evidence, breaks::add);
         breaks.sort(Comparator.comparingLong(Break::t));
         Figures figures = Figures.of(evidence);
         var unmet = new ArrayList<String>();
--- a/lab/src/test/java/walkpost/lab/relay/WayTest.java
+++ b/lab/src/test/java/walkpost/lab/relay/WayTest.java
@@ -69,4 +69,14 @@
         assertThatThrownBy(() -> new Conditions(0, 0, 0, 1.1, 0)).isInstanceOf(IllegalArgumentException.class);
         assertThatThrownBy(() -> new Conditions(-1, 0, 0, 0, 0)).isInstanceOf(IllegalArgumentException.class);
     }
+
+    @Test
+    void otherConditionsHoldForWhatIsHandedInFromThenOn() {
+        Way way = way(Conditions.IDEAL);
+        assertThat(way.datagram(0, 100)).containsExactly(0L);
+        way.become(new Conditions(500, 0, 0, 0, 1));
+        assertThat(way.datagram(10, 100)).containsExactly(510L, 510L);
+        way.become(new Conditions(0, 0, 0, 1, 0));
+        assertThat(way.datagram(20, 100)).isEmpty();
+    }
 }
--- /dev/null
+++ b/lab/src/test/java/walkpost/lab/scenario/MembersReaderTest.java
@@ -0,0 +1,112 @@
+package walkpost.lab.scenario;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What a scenario says of proxies that are members of each other. */
+final class MembersReaderTest {
+    private static final String MEMBERS = ScenarioReaderTest.SMALL.replace("length = \"10s\"", "length = \"40s\"").replace("proxies = 2", """
+            proxies = 5
+            members = true
+            directory = false
+            shards = 4
+            [fleet.bounds]
+            verdict = "3s"
+            """) + """
+            keep = false
+            [[faults]]
+            act = "part"
+            at = "5s"
+            length = "4s"
+            groups = [[0, 3], [1]]
+            [[faults]]
+            act = "link"
+            at = "6s"
+            length = "2s"
+            from = [0]
+            to = [1]
+            both = false
+            loss = 0.3
+            duplicates = 0.1
+            [[calls]]
+            at = "8s"
+            proxy = 2
+            line = "exclude s-3 fleet o-1"
+            again = "300ms"
+            [[calls]]
+            at = "9s"
+            to = "each"
+            line = "readyz"
+            """;
+
+    @Test
+    void membersFaultsBetweenThemAndCallsAreRead() throws BadScenario {
+        Scenario scenario = ScenarioReader.parse(MEMBERS);
+        Members members = scenario.fleet().members();
+        assertThat(members.directory()).isFalse();
+        assertThat(members.boundsUs()).isEqualTo(Map.of("verdict", 3_000_000L));
+        assertThat(scenario.faults()).extracting(Scenario.Fault::keep).containsExactly(false, true, true);
+        assertThat(members.calls()).extracting(Members.Call::proxies).containsExactly(List.of(2), List.of());
+        Plan plan = Planner.plan(scenario, 4);
+        assertThat(Planner.line(members.calls().get(0), plan)).isEqualTo("exclude " + plan.servers().get(3).id() + " fleet o-1");
+        assertThat(ScenarioReader.parse(ScenarioReaderTest.SMALL).fleet().members()).isNull();
+    }
+
+    @Test
+    void aFaultBetweenMembersIsOnTheWaysThatItNames() throws BadScenario {
+        List<Scenario.Fault> faults = ScenarioReader.parse(MEMBERS).faults();
+        Between part = faults.get(1).between();
+        assertThat(part.covers(faults.get(1).target().listed(), 0, 1)).isTrue();
+        assertThat(part.covers(faults.get(1).target().listed(), 1, 3)).isTrue();
+        assertThat(part.covers(faults.get(1).target().listed(), 0, 3)).isFalse();
+        assertThat(part.covers(faults.get(1).target().listed(), 2, 1)).isFalse();
+        Between link = faults.get(2).between();
+        assertThat(link.covers(List.of(0), 0, 1)).isTrue();
+        assertThat(link.covers(List.of(0), 1, 0)).isFalse();
+        assertThat(link.covers(List.of(0), 0, 2)).isFalse();
+    }
+
+    @Test
+    void groupsAreDealtOutEvenlyAsDrawn() throws BadScenario {
+        Plan plan = Planner.plan(ScenarioReader.parse(MEMBERS.replace("[[0, 3], [1]]", "2")), 4);
+        Plan.PlannedFault part = plan.faults().get(1);
+        List<List<Integer>> groups = part.fault().between().groups(part.hits());
+        assertThat(groups).extracting(List::size).containsExactly(3, 2);
+        assertThat(groups.stream().flatMap(List::stream).sorted().toList()).containsExactly(0, 1, 2, 3, 4);
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', textBlock = """
+            members = true     | members = false    | 'calls': found
+            [[0, 3], [1]]      | [[0, 3], [3]]      | 'faults[1].groups': found [[0,3],[3]], expected a number of groups, or two lists or more
+            [[0, 3], [1]]      | [[0, 3], [5]]      | 'faults[1].groups': found [[0,3],[5]], expected lists of whole numbers from 0 to 4
+            [[0, 3], [1]]      | 6                  | 'faults[1].groups': found 6, expected a whole number from 2 to 5
+            loss = 0.3         | loss = 3           | 'faults[2].loss': found 3, expected a number from 0 to 1
+            exclude s-3        | exclude s-4        | 'calls[0].line': found "exclude s-4 fleet o-1", expected servers from s-0 to s-3
+            to = "each"        | to = "all"         | 'calls[1].to': found "all", expected "each"
+            verdict = "3s"     | verdict = 3        | 'fleet.bounds.verdict': found 3, expected a duration
+            length = "40s"     | length = "15s"     | 'length': found "15s", expected 9 s, when the last fault and call are over
+            """)
+    void aWrongFileIsRefused(String right, String wrong, String message) {
+        String text = MEMBERS.replace(right, wrong);
+        assertThat(text).isNotEqualTo(MEMBERS);
+        assertThatThrownBy(() -> ScenarioReader.parse(text)).isInstanceOf(BadScenario.class).message().startsWith(message);
+    }
+
+    @Test
+    void thereIsNothingBetweenProxiesThatAreNoMembers() {
+        assertThatThrownBy(() -> ScenarioReader.parse(ScenarioReaderTest.SMALL + """
+                [[faults]]
+                act = "part"
+                at = "5s"
+                length = "4s"
+                groups = 2
+                """)).hasMessageStartingWith("'faults[1].act': found \"part\", expected 'members = true' under [fleet]");
+    }
+}
