--- a/lab/src/test/java/walkpost/lab/scenario/MembersReaderTest.java
+++ b/lab/src/test/java/walkpost/lab/scenario/MembersReaderTest.java
@@ -3,11 +3,13 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** What a scenario says of proxies that are members of each other. */
 final class MembersReaderTest {
@@ -99,6 +101,14 @@
         assertThatThrownBy(() -> ScenarioReader.parse(text)).isInstanceOf(BadScenario.class).message().startsWith(message);
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"copies-cut", "copies-return", "copies-differ", "copies-all-killed", "copies-all-killed-for-good"})
+    void whatShipsCanBePlayed(String name) throws BadScenario {
+        Scenario scenario = ScenarioReader.read(Path.of("scenarios", name + ".toml"));
+        assertThat(scenario.name()).isEqualTo(name);
+        assertThat(scenario.fleet().members().calls()).isNotEmpty();
+    }
+
     @Test
     void thereIsNothingBetweenProxiesThatAreNoMembers() {
         assertThatThrownBy(() -> ScenarioReader.parse(ScenarioReaderTest.SMALL + """
