Hold an exclusion against members that are level only, and count a new process as trouble once

Need: a member that is not level may show an order that it holds and does not act on yet; a front that drops a proxy for a moment on a busy machine put off every judgement that needs quiet.

Change: ExclusionRules takes an exclusion from level views; Quiet counts a start, and the first admission after it.

Measured: CopyRulesTest.

--- a/lab/src/main/java/walkpost/lab/verdict/ExclusionRules.java
+++ b/lab/src/main/java/walkpost/lab/verdict/ExclusionRules.java
@@ -55,6 +55,9 @@
                 of.remove(server);
             }
         }
+        if (!view.level()) {
+            return; // It holds the order, and acts on it once it is level.
+        }
         view.shown().forEach((key, shown) -> {
             Given order = given.get(shown.id());
             if (shown.payload() != null && order != null && !order.takesBack && key.topic().equals("exclusion")) {
--- a/lab/src/main/java/walkpost/lab/verdict/Quiet.java
+++ b/lab/src/main/java/walkpost/lab/verdict/Quiet.java
@@ -15,6 +15,7 @@
     private final Map<Integer, List<Span>> still = new HashMap<>();
     private final Map<Integer, List<Span>> down = new HashMap<>();
     private final List<Parted> parted = new ArrayList<>();
+    private final Set<Integer> starting = new HashSet<>();
 
     /** Two parts of a fleet between which nothing got through, not even by way of others. */
     private record Parted(Span span, List<List<Integer>> groups) {
@@ -60,13 +61,19 @@
                 }
             }
             case STARTED -> {
+                starting.add(s.proxy());
                 troubles.add(new Span(s.t(), s.t()));
                 if (gone.containsKey(s.proxy())) {
                     add(down, s.proxy(), new Span(gone.remove(s.proxy()), s.t()));
                 }
             }
-            // A new process hears the others when it serves at the latest.
-            case READY, ADMITTED, DROPPED -> troubles.add(new Span(s.t(), s.t()));
+            case ADMITTED -> {
+                // A new process hears the others when it serves at the latest.
+                if (starting.remove(s.proxy())) {
+                    troubles.add(new Span(s.t(), s.t()));
+                }
+            }
+            case READY, DROPPED -> { }
         }
     }
 
--- a/lab/src/test/java/walkpost/lab/verdict/CopyRulesTest.java
+++ b/lab/src/test/java/walkpost/lab/verdict/CopyRulesTest.java
@@ -218,6 +218,7 @@
     void anExclusionIsObeyedByWhoeverHasShownOrAcknowledgedIt() {
         exclude(10 * S, 0, "o1", done("o1", 1));
         orders(11 * S, 1, true, order("o1", 1, OUT, ""));
+        orders(11 * S, 2, false, order("o1", 1, OUT, ""));
         sent(10 * S + 300 * MS, 0);
         sent(11 * S + 300 * MS, 1);
         sent(20 * S, 2);
