--- a/fleet/src/test/java/walkpost/fleet/shell/FleetTest.java
+++ b/fleet/src/test/java/walkpost/fleet/shell/FleetTest.java
@@ -103,7 +103,7 @@
     }
 
     private FleetFile file(String name, List<String> members, List<Address> seeds, boolean onDisk) {
-        return new FleetFile("gent", name, new Address("127.0.0.1", 0), null, members, seeds, SECRET,
+        return new FleetFile("gent", name, Loopback.ANY, null, members, seeds, SECRET,
                 onDisk ? folder.resolve(name) : null, 4, Map.of("load", 400_000L));
     }
 
@@ -240,7 +240,7 @@
     void whatOthersSendInAWrongNameLifeOrSecretIsDropped() throws Exception {
         Fleet fleet = open(file("n1", List.of("n1", "n2"), List.of(), false), LogFile::new);
         var answers = new LinkedBlockingQueue<byte[]>();
-        try (Transport n2 = new Transport(new Address("127.0.0.1", 0), answers::add, new Counters())) {
+        try (Transport n2 = new Transport(Loopback.ANY, answers::add, new Counters())) {
             var codec = new Codec("gent", 4, SECRET, new Counters());
             var other = new Secret("quite another".repeat(2).getBytes(StandardCharsets.UTF_8));
             var life = new Life("n2", 5);
--- a/fleet/src/test/java/walkpost/fleet/shell/TransportTest.java
+++ b/fleet/src/test/java/walkpost/fleet/shell/TransportTest.java
@@ -23,7 +23,7 @@
 /** The sockets, over loopback at ports that are free. Waits end with what is waited for; their bounds only end a failed test. */
 final class TransportTest {
     private static final int FAILED_S = 30;
-    private static final Address ANY = new Address("127.0.0.1", 0);
+    private static final Address ANY = Loopback.ANY;
 
     private final List<AutoCloseable> open = new ArrayList<>();
     private final BlockingQueue<byte[]> received = new LinkedBlockingQueue<>();
@@ -82,8 +82,8 @@
     @Test
     void aPeerThatReadsNothingCostsNoMoreThanTheBound() throws Exception {
         Transport from = transport(ANY);
-        try (var silent = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            var to = new Address("127.0.0.1", silent.getLocalPort());
+        try (var silent = new ServerSocket(0, 1, InetAddress.getByName(ANY.host()))) {
+            var to = new Address(ANY.host(), silent.getLocalPort());
             for (int i = 0; i < 64; i++) {
                 from.send(to, message(Codec.MOST), true);
             }
@@ -98,8 +98,8 @@
         assertThatThrownBy(() -> transport(first.bound())).isInstanceOf(AddressTaken.class)
                 .hasMessageContaining(first.bound() + " (TCP");
         Address half;
-        try (var datagrams = new DatagramSocket(new InetSocketAddress("127.0.0.1", 0))) {
-            half = new Address("127.0.0.1", datagrams.getLocalPort());
+        try (var datagrams = new DatagramSocket(new InetSocketAddress(ANY.host(), 0))) {
+            half = new Address(ANY.host(), datagrams.getLocalPort());
             assertThatThrownBy(() -> transport(half)).isInstanceOf(AddressTaken.class).hasMessageContaining(half + " (UDP");
         }
         assertThat(transport(half).bound()).isEqualTo(half);
