Let facts grow older by what they waited in a shard's lane, rather than drop them

On a machine with 80 runnable threads a lane waits over 100 ms, and facts that were dropped then would have gone stale for no fault. Their ages stay upper bounds, as design has it. Messages are dropped a second after their event, as before.

--- a/fleet/src/main/java/walkpost/fleet/shell/ShardLane.java
+++ b/fleet/src/main/java/walkpost/fleet/shell/ShardLane.java
@@ -38,8 +38,6 @@
     static final int MOST_BYTES = 2 << 20;
     /** Microseconds after which a message is not sent any more, as {@link CopyAction.Send} has it. */
     private static final long LATE_US = 1_000_000;
-    /** The same for facts, in and out: a fact's age does not count what it waited here. */
-    private static final long LATE_FACTS_US = 100_000;
 
     /** What a lane needs of the fleet; called by a thread of the pool, with no lock held. */
     interface Surroundings {
@@ -237,15 +235,14 @@
         try {
             for (Item item : items) {
                 long nowUs = clock.nowUs();
-                if (item.event instanceof CopyEvent.Received received && received.message() instanceof CopyMessage.Facts
-                        && nowUs - item.atUs > LATE_FACTS_US) {
-                    counters.dropped("late");
-                } else if (item.event != null) {
+                if (item.event != null) {
                     var actions = new ArrayList<CopyAction>();
+                    CopyEvent event = item.event instanceof CopyEvent.Received received
+                            ? new CopyEvent.Received(received.from(), aged(received.message(), nowUs - item.atUs)) : item.event;
                     try {
-                        shard.handle(nowUs, item.event, actions::add);
+                        shard.handle(nowUs, event, actions::add);
                     } catch (RuntimeException e) {
-                        failed(e, item.event);
+                        failed(e, event);
                     }
                     actions.forEach(action -> due.add(new Due(nowUs, action)));
                 }
@@ -256,6 +253,18 @@
         return due;
     }
 
+    /** Returns a message as it is after so long: facts in it have grown older by what they waited here, one way or the other. */
+    private static CopyMessage aged(CopyMessage message, long waitedUs) {
+        return message instanceof CopyMessage.Facts told
+                ? new CopyMessage.Facts(told.fetched(), told.facts().stream().map(fact -> aged(fact, waitedUs)).toList()) : message;
+    }
+
+    private static Fact aged(Fact fact, long waitedUs) {
+        // An age that makes no sense is left for the shard to refuse.
+        return fact.ageUs() < 0 || fact.ageUs() > Long.MAX_VALUE - waitedUs ? fact
+                : new Fact(fact.key(), fact.incarnation(), fact.version(), fact.payload(), fact.ageUs() + waitedUs);
+    }
+
     private void failed(RuntimeException cause, Object what) {
         counters.add("failures", 1);
         Log.failure("machine_failed", cause, "machine", "shard " + number, "event", what.getClass().getSimpleName());
@@ -263,10 +272,11 @@
 
     private void carryOut(Due due) {
         if (due.action instanceof CopyAction.Send send) {
-            if (clock.nowUs() - due.atUs > (send.message() instanceof CopyMessage.Facts ? LATE_FACTS_US : LATE_US)) {
+            long waitedUs = clock.nowUs() - due.atUs;
+            if (waitedUs > LATE_US) {
                 counters.dropped("late");
             } else {
-                surroundings.send(number, send.to(), send.message());
+                surroundings.send(number, send.to(), aged(send.message(), waitedUs));
             }
         } else if (due.action instanceof CopyAction.Acknowledged acknowledged) {
             surroundings.acknowledged(acknowledged.id(), acknowledged.order());
