--- a/fleet/src/main/java/walkpost/fleet/copy/Touch.java
+++ b/fleet/src/main/java/walkpost/fleet/copy/Touch.java
@@ -13,6 +13,9 @@
     /** A copy that never was level is older than any other, and by so much that differences do not overflow. */
     static final long NEVER_US = Long.MAX_VALUE / 4;
 
+    /** The part of a gap from which on what comes in may have waited meanwhile. Ages are upper bounds: more is right, less is not. */
+    private static final long WAITING = 10;
+
     private final CopySettings settings;
     private final Neighbours neighbours;
     private final Figures figures;
@@ -47,12 +50,16 @@
         if (level) {
             inTouchUs = nowUs - step;
         }
+        if (step > settings.gapUs() / WAITING) {
+            boolean again = nowUs - step - jumpedAtUs <= settings.gapUs();
+            // Stops in a row add up, as between them little may have been read; mere slowness does not, or ages would grow for ever.
+            jumpUs = !again ? step : step > settings.gapUs() ? jumpUs + step : Math.max(jumpUs, step);
+            jumpedAtUs = nowUs;
+        }
         if (step <= settings.gapUs()) {
             return false;
         }
         figures.count("touch.stood_still");
-        jumpUs = step;
-        jumpedAtUs = nowUs;
         lose();
         return true;
     }
