--- a/lab/src/test/java/walkpost/lab/client/DoorCallerTest.java
+++ b/lab/src/test/java/walkpost/lab/client/DoorCallerTest.java
@@ -33,7 +33,7 @@
 
     /** A door that says one thing to whoever calls, or hangs up where that is empty; returns what the caller is told. */
     private Seen.DoorAnswered called(String answer) throws Exception {
-        try (var ledger = new Ledger(dir.resolve("ledger")); var loops = new Loops(1);
+        try (var ledger = new Ledger(dir.resolve("ledger")); var loops = new Loops(Seen.Part.CLIENTS, 1);
                 var door = new ServerSocket(0, 10, InetAddress.getLoopbackAddress())) {
             var told = new CompletableFuture<Seen.DoorAnswered>();
             caller(ledger, loops, (InetSocketAddress) door.getLocalSocketAddress()).call("orders", LONG_MS, told::complete);
@@ -74,7 +74,7 @@
         try (var door = new ServerSocket(0, 10, InetAddress.getLoopbackAddress())) {
             nobody = (InetSocketAddress) door.getLocalSocketAddress();
         }
-        try (var ledger = new Ledger(dir.resolve("ledger")); var loops = new Loops(1)) {
+        try (var ledger = new Ledger(dir.resolve("ledger")); var loops = new Loops(Seen.Part.CLIENTS, 1)) {
             var told = new CompletableFuture<Seen.DoorAnswered>();
             caller(ledger, loops, nobody).call("orders", LONG_MS, told::complete);
             assertThat(told.get().whole()).isFalse();
--- a/lab/src/test/java/walkpost/lab/verdict/CopyRulesTest.java
+++ b/lab/src/test/java/walkpost/lab/verdict/CopyRulesTest.java
@@ -104,7 +104,7 @@
 
     private List<Rule> broken() {
         seen.removeIf(s -> s instanceof Seen.Finished);
-        seen.add(new Seen.Finished(70 * S, true, 100, 100, 100));
+        seen.add(new Seen.Finished(70 * S, true, 100, 100, 100, 100));
         return Verdict.of(scenario, plan, LedgerReader.Record.of(seen)).breaks().stream().map(Break::rule).toList();
     }
 
