Count a hold-up of several loops at once a single time

Cause: a pause of the whole process, or of the machine, is noted by each loop. A request that passed two of them was taken for moved by both, one after the other, though all waited for the same time; so the room that lateness leaves a figure was wider than it can be.

Change: what several loops were held up at once counts once, for limits as for figures.

--- a/lab/src/main/java/walkpost/lab/verdict/Holdups.java
+++ b/lab/src/main/java/walkpost/lab/verdict/Holdups.java
@@ -57,50 +57,47 @@
      * still, or were over no longer before than they had lasted. What is seen later was not held up by them.
      */
     long delay(long sinceUs, long seenAtUs, Collection<Loop> by) {
+        return together(met(Math.max(sinceUs, seenAtUs - 2 * longestUs), seenAtUs, seenAtUs, by), sinceUs, seenAtUs);
+    }
+
+    /**
+     * Returns by how much hold-ups of some loops may have moved what was under way in a span, in microseconds: the whole length
+     * of each that met it, or that was over no longer before it than it had lasted, as what it held back was still being worked off.
+     */
+    long sway(long fromUs, long toUs, Collection<Loop> of) {
+        return together(met(fromUs - longestUs, toUs, fromUs, of), Long.MIN_VALUE, Long.MAX_VALUE);
+    }
+
+    /** Returns the hold-ups that end after one moment, begin before another, and are worked off no sooner than at a third. */
+    private List<Seen.Held> met(long endsAfterUs, long beginsBeforeUs, long worksAtUs, Collection<Loop> of) {
         var met = new ArrayList<Seen.Held>();
-        for (Loop loop : by) {
-            for (Seen.Held held : after(loop, Math.max(sinceUs, seenAtUs - 2 * longestUs))) {
-                if (held.fromUs() >= seenAtUs) {
+        for (Loop loop : of) {
+            for (Seen.Held held : after(loop, endsAfterUs)) {
+                if (held.fromUs() >= beginsBeforeUs) {
                     break;
                 }
-                if (worksUntil(held) >= seenAtUs) {
+                // What was held back is worked off in as long again, where servers are half busy at most.
+                if (held.t() + (held.t() - held.fromUs()) >= worksAtUs) {
                     met.add(held);
                 }
             }
         }
+        return met;
+    }
+
+    /** Returns how much of a span was held up: what several loops were at once counts once, as all waited for the same time. */
+    private static long together(List<Seen.Held> met, long fromUs, long toUs) {
         met.sort(Comparator.comparingLong(Seen.Held::fromUs));
         long sum = 0;
-        long counted = sinceUs;
+        long counted = fromUs;
         for (Seen.Held held : met) {
-            long end = Math.min(seenAtUs, held.t());
+            long end = Math.min(toUs, held.t());
             sum += Math.max(0, end - Math.max(counted, held.fromUs()));
             counted = Math.max(counted, end);
         }
         return sum;
     }
 
-    /** What was held back is worked off in as long again, where servers are half busy at most. */
-    private static long worksUntil(Seen.Held held) {
-        return held.t() + (held.t() - held.fromUs());
-    }
-
-    /**
-     * Returns by how much hold-ups of some loops may have moved what was under way in a span, in microseconds: the whole length
-     * of each that met it, or that was over no longer before it than it had lasted, as what it held back was still being worked off.
-     */
-    long sway(long fromUs, long toUs, Collection<Loop> of) {
-        long sum = 0;
-        for (Loop loop : of) {
-            for (Seen.Held held : after(loop, fromUs - longestUs)) {
-                if (held.fromUs() >= toUs) {
-                    break;
-                }
-                sum += worksUntil(held) > fromUs ? held.t() - held.fromUs() : 0;
-            }
-        }
-        return sum;
-    }
-
     /** Returns a loop's hold-ups that end after a moment; they never overlap, so the order of ends is that of beginnings. */
     private List<Seen.Held> after(Loop loop, long us) {
         List<Seen.Held> all = spans.getOrDefault(loop, List.of());
--- a/lab/src/test/java/walkpost/lab/relay/MeshTest.java
+++ b/lab/src/test/java/walkpost/lab/relay/MeshTest.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import walkpost.lab.ledger.Seen;
 import walkpost.lab.net.Loops;
 import walkpost.lab.net.PlayClock;
 import walkpost.lab.scenario.Streams;
@@ -26,7 +27,7 @@
 /** Three members on sockets of their own, which know only the mesh's addresses of each other. */
 @Timeout(60)
 final class MeshTest {
-    private final Loops loops = new Loops(walkpost.lab.ledger.Seen.Part.CLIENTS, 1);
+    private final Loops loops = new Loops(Seen.Part.CLIENTS, 1);
     private final List<DatagramSocket> datagrams = new ArrayList<>();
     private final List<ServerSocket> listeners = new ArrayList<>();
     private Mesh mesh;
