--- a/lab/src/main/java/walkpost/lab/verdict/Given.java
+++ b/lab/src/main/java/walkpost/lab/verdict/Given.java
@@ -68,8 +68,12 @@
 
     /** Returns whether every call for it was told for certain that it does not and will not stand. */
     boolean refused() {
-        return calls.stream().allMatch(c -> c.answer() != null && c.answer().startsWith(DoorCall.FAILURE)
-                && !UNCERTAIN.matcher(c.answer()).find());
+        return calls.stream().allMatch(Given::refused);
+    }
+
+    /** Returns whether a call was told for certain that it has changed nothing. */
+    static boolean refused(DoorCall call) {
+        return call.answer() != null && call.answer().startsWith(DoorCall.FAILURE) && !UNCERTAIN.matcher(call.answer()).find();
     }
 
     long firstUs() {
--- a/lab/src/main/java/walkpost/lab/verdict/Quiet.java
+++ b/lab/src/main/java/walkpost/lab/verdict/Quiet.java
@@ -26,6 +26,8 @@
     }
 
     Quiet(Evidence evidence) {
+        // While the fleet starts, moments are told from another zero than the play's: none of them can be compared.
+        troubles.add(new Span(Long.MIN_VALUE, 0));
         var faults = new HashMap<Integer, Seen.FaultIs>();
         var stopped = new HashMap<Integer, Long>();
         var gone = new HashMap<Integer, Long>();
@@ -97,9 +99,10 @@
         spans.computeIfAbsent(of, k -> new ArrayList<>()).add(span);
     }
 
-    /** Counts what was asked and answered at doors as trouble too: copies are on their way to be alike then. */
+    /** Counts orders that may have changed something as trouble too: copies are on their way to be alike then. */
     Quiet withCalls(Iterable<Given> given) {
-        given.forEach(g -> g.calls().forEach(c -> troubles.add(new Span(c.fromUs(), c.toUs()))));
+        given.forEach(g -> g.calls().stream().filter(c -> !Given.refused(c))
+                .forEach(c -> troubles.add(new Span(c.fromUs(), c.toUs()))));
         return this;
     }
 
--- a/lab/src/test/java/walkpost/lab/verdict/CopyRulesTest.java
+++ b/lab/src/test/java/walkpost/lab/verdict/CopyRulesTest.java
@@ -205,6 +205,7 @@
         orders(18 * S, 2, true);
         assertThat(broken()).isEmpty();
         orders(20 * S, 0, true, order("o1", 1, OUT, ""));
+        exclude(20 * S, 0, "o2", "FAILURE n0 has not caught up (1 of 2 compared); ask another member");
         orders(21 * S, 2, true, order("o1", 1, "null", ""));
         assertThat(broken()).containsExactly(Rule.COPIES_DIFFER);
     }
@@ -254,7 +255,7 @@
 
     @Test
     void whoLivesIsShownToLiveAndWhoIsDownIsNot() {
-        fleet(4 * S, 0, "ALIVE", "DEAD", "ALIVE");
+        fleet(9 * S, 0, "ALIVE", "DEAD", "ALIVE");
         fleet(20 * S, 0, "ALIVE", "ALIVE", "ALIVE");
         life(21 * S, 2, Life.KILLED);
         fleet(30 * S, 0, "ALIVE", "ALIVE", "ALIVE");
