Connect to members from the address that this one is bound to, and play three real ones in a test

Need: a connection to a peer came from the machine's first address, 127.0.0.1 on the lab's, whatever 'bind' says. Whoever tells members apart by the address that they send from (the lab's mesh, a firewall) saw a stranger, and all that is too long for a datagram was lost.

Change: a Link binds the host of the member's own address. The test of three members, an order, a kill and a part is enabled.

--- a/app/src/test/java/walkpost/app/MembersTest.java
+++ b/app/src/test/java/walkpost/app/MembersTest.java
@@ -4,7 +4,6 @@
 
 import java.nio.file.Path;
 import java.util.List;
-import org.junit.jupiter.api.Disabled;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import walkpost.lab.ledger.LedgerReader;
@@ -17,7 +16,6 @@
 import walkpost.lab.verdict.Verdict;
 
 /** Three processes of the program that are members of each other: one order, one of them killed, one cut off, all healed. */
-@Disabled("until 'serve' knows WALKPOST_FLEET")
 final class MembersTest {
     /** What has to settle is given many times what it takes, and an order is given again until it stands. */
     private static final String SCENARIO = """
--- a/fleet/src/main/java/walkpost/fleet/shell/Link.java
+++ b/fleet/src/main/java/walkpost/fleet/shell/Link.java
@@ -14,6 +14,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.util.ReferenceCountUtil;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 
 /**
@@ -29,7 +30,8 @@
     private final Counters counters;
     private final Channel channel;
 
-    Link(EventLoop loop, InetSocketAddress to, Counters counters) {
+    /** Connects from a host's address, any port: a peer, or what lies between, tells by it who sends. */
+    Link(EventLoop loop, InetAddress from, InetSocketAddress to, Counters counters) {
         this.counters = counters;
         ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
@@ -40,7 +42,7 @@
                     protected void initChannel(Channel made) {
                         made.pipeline().addLast(new IdleStateHandler(0, 0, IDLE_S), new Guard());
                     }
-                }).connect(to);
+                }).connect(to, new InetSocketAddress(from, 0));
         channel = connecting.channel();
         connecting.addListener(done -> {
             if (done.isSuccess()) {
--- a/fleet/src/main/java/walkpost/fleet/shell/Transport.java
+++ b/fleet/src/main/java/walkpost/fleet/shell/Transport.java
@@ -196,7 +196,7 @@
                 oldest.remove();
                 given.close();
             }
-            Link made = new Link(loop, address, counters);
+            Link made = new Link(loop, socketAddress(bound).getAddress(), address, counters);
             links.put(to, made);
             made.onClose(() -> links.remove(to, made));
             link = made;
