--- a/app/src/test/java/walkpost/app/MembersTest.java
+++ b/app/src/test/java/walkpost/app/MembersTest.java
@@ -76,7 +76,7 @@
                 Main.class.getName(), "serve"));
         new Play(scenario, 11, program, dir, (part, what) -> { }).run();
         LedgerReader.Record record = LedgerReader.read(dir.resolve(Play.LEDGER));
-        assertThat(Verdict.judged(scenario, Planner.plan(scenario, 11), record).breaks()).isEmpty();
+        assertThat(Verdict.of(scenario, Planner.plan(scenario, 11), record).breaks()).isEmpty();
         assertThat(record.seen()).filteredOn(s -> s instanceof Seen.DoorAnswered a && a.line().contains("order=o-1 version="))
                 .as("the order was acknowledged").isNotEmpty();
         assertThat(record.seen()).filteredOn(s -> s instanceof Seen.FaultIs f && f.act().equals("PART")).hasSize(2);
