--- a/lab/src/main/java/walkpost/lab/play/Faults.java
+++ b/lab/src/main/java/walkpost/lab/play/Faults.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.IntConsumer;
+import walkpost.lab.discovery.DiscoveryStand;
 import walkpost.lab.discovery.Entry;
 import walkpost.lab.ledger.Seen;
 import walkpost.lab.net.Stage;
@@ -67,6 +68,10 @@
                 fleet.isolate(proxy, fault.from(), true);
                 after(fault.lengthUs(), () -> fleet.isolate(proxy, fault.from(), false));
             });
+            case PART, LINK -> {
+                fleet.net().begin(planned);
+                after(fault.lengthUs(), () -> fleet.net().end(planned));
+            }
             case SLOW -> eachPlace(planned, s -> s.slowDown(fault.size()), s -> s.slowDown(1));
             case ERRORS -> eachPlace(planned, s -> s.fail(fault.size()), s -> s.fail(-1));
             case CUT -> eachPlace(planned, s -> s.silence(true, true), s -> s.silence(false, false));
@@ -77,8 +82,12 @@
             case JOIN -> each(planned, server -> join(stage.plan().servers().get(server)));
             case HEAVY -> heavy(planned);
             case DISCOVERY -> {
-                fleet.onDiscovery(d -> d.down(true));
-                after(fault.lengthUs(), () -> fleet.onDiscovery(d -> d.down(false)));
+                fleet.onDiscovery(d -> trouble(d, fault, true));
+                after(fault.lengthUs(), () -> fleet.onDiscovery(d -> trouble(d, fault, false)));
+            }
+            case HOLD -> {
+                stage.loops().hold(fault.lengthUs());
+                stage.clientLoops().hold(fault.lengthUs());
             }
             case BURST -> { } // drawn into the arrivals
         }
@@ -87,6 +96,14 @@
         }
     }
 
+    private static void trouble(DiscoveryStand discovery, Scenario.Fault fault, boolean begins) {
+        if (fault.silent()) {
+            discovery.fallSilent(begins);
+        } else {
+            discovery.down(begins);
+        }
+    }
+
     private List<ProxyProcess> proxies() {
         return fleet.proxies();
     }
@@ -118,6 +135,9 @@
 
     private void back(Scenario.Fault fault, int proxy) {
         if (fault.backUs() >= 0) {
+            if (!fault.keep()) {
+                fleet.net().empty(proxy);
+            }
             after(fault.backUs(), () -> {
                 if (fault.other()) {
                     fleet.becomeOther(proxy);
