Keep the lock on the fleet's directory, and test an upgrade with a fleet

Need: at an upgrade both processes are one member, so the new one may join only when the old one has ended. A test of two real processes showed that it joined at once, on the same directory.

Cause: the directory's time was set by the file's name; the JDK opens and closes the file for that, and whoever closes any descriptor of a file gives up its fcntl lock on it.

Change: the time is set by a write through the lock's own channel.

Measured: the test failed before and passes now.

--- a/fleet/src/main/java/walkpost/fleet/shell/Directory.java
+++ b/fleet/src/main/java/walkpost/fleet/shell/Directory.java
@@ -1,12 +1,12 @@
 package walkpost.fleet.shell;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.channels.OverlappingFileLockException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
-import java.nio.file.attribute.FileTime;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -121,9 +121,12 @@
         return TimeUnit.MILLISECONDS.toMicros(Math.max(0, ms));
     }
 
-    /** Puts down that what it holds is as new as any copy. */
+    /**
+     * Puts down that what it holds is as new as any copy: by a write through the lock's own channel, as a process that opens and closes
+     * the file besides has given up its lock (POSIX, fcntl).
+     */
     private void touch() throws IOException {
-        Files.setLastModifiedTime(folder.resolve(LOCK), FileTime.fromMillis(System.currentTimeMillis()));
+        lock.write(ByteBuffer.wrap(new byte[1]), 0);
     }
 
     /** Returns what it held when it was opened. */
--- a/proxy/src/test/java/walkpost/proxy/FleetSwitchTest.java
+++ b/proxy/src/test/java/walkpost/proxy/FleetSwitchTest.java
@@ -22,6 +22,10 @@
     private Path dir;
 
     private Map<String, String> fleet(String bind) throws Exception {
+        return fleet(bind, "");
+    }
+
+    private Map<String, String> fleet(String bind, String more) throws Exception {
         Files.writeString(dir.resolve("fleet.key"), "a secret of 16 bytes, and more");
         Path file = Files.writeString(dir.resolve("fleet.toml"), """
                 format = 1
@@ -30,7 +34,8 @@
                 members = ["n0"]
                 seeds = []
                 secret = "fleet.key"
-                """.formatted(bind));
+                %s
+                """.formatted(bind, more));
         return Map.of(Surroundings.FLEET, file.toString());
     }
 
@@ -74,4 +79,21 @@
             assertThat(program.status()).isEqualTo(2);
         }
     }
+
+    /** Both processes of an upgrade are the same member, so one at a time: the orders' directory is the old one's until it ends. */
+    @Test
+    void theNextProcessIsTheMemberOnceTheOldOneHasEnded() throws Exception {
+        try (var backend = new Peer(); var discovery = new Peer(); var platform = new Platform(dir,
+                UpgradeTest.config(backend, discovery), fleet("127.0.0.1:0", "directory = \"orders\""))) {
+            discovery.always(Peer.ok(Fixture.list(42, true, Fixture.entry("s0", backend.address(), "ready"))));
+            platform.start();
+            assertThat(platform.line("fleet_started|joins_later")).contains("fleet_started");
+            platform.line("listening proxy=n0 socket=inherited");
+            platform.start();
+            assertThat(platform.line("fleet_started|joins_later")).contains("joins_later").contains("in use");
+            platform.line("listening proxy=n0 socket=inherited");
+            platform.endFirst();
+            assertThat(platform.line("fleet_started")).contains("member=n0");
+        }
+    }
 }
--- a/proxy/src/test/java/walkpost/proxy/Platform.java
+++ b/proxy/src/test/java/walkpost/proxy/Platform.java
@@ -36,11 +36,17 @@
     private final InetSocketAddress address;
 
     Platform(Path dir, ObjectNode config) throws IOException {
+        this(dir, config, Map.of());
+    }
+
+    /** The same with more in the programs' environment. */
+    Platform(Path dir, ObjectNode config, Map<String, String> environment) throws IOException {
         Path file = Files.writeString(dir.resolve("config.json"), config.toString());
         var command = new ProcessBuilder("perl", "-e", HOLDER);
         command.command().addAll(Program.SERVE);
         command.redirectErrorStream(true).environment().putAll(Map.of("PROXY_CONFIG", file.toString(),
                 "TMPDIR", dir.toString(), "PROXY_LISTEN_FD", "0"));
+        command.environment().putAll(environment);
         process = command.start();
         output = new Program.Output(process);
         address = new InetSocketAddress(InetAddress.getLoopbackAddress(),
--- a/proxy/src/test/java/walkpost/proxy/UpgradeTest.java
+++ b/proxy/src/test/java/walkpost/proxy/UpgradeTest.java
@@ -143,7 +143,7 @@
         }
     }
 
-    private static ObjectNode config(Peer backend, Peer discovery) throws Exception {
+    static ObjectNode config(Peer backend, Peer discovery) throws Exception {
         ObjectNode config = Fixture.config().put("discovery", discovery.address());
         config.set("known", Config.JSON.readTree(Fixture.list(41, true, Fixture.entry("s0", backend.address(), "ready"))));
         return config;
