--- a/fleet/src/test/java/walkpost/fleet/sim/Cluster.java
+++ b/fleet/src/test/java/walkpost/fleet/sim/Cluster.java
@@ -159,7 +159,7 @@
 
     private void planFaults() {
         for (Fault fault : Fault.values()) {
-            if (time.chance(0.35)) {
+            if (time.chance(fault == Fault.CUT_AT_HOLD ? 0.6 : 0.35)) {
                 for (int times = time.below(4); times >= 0; times--) {
                     time.after(time.between(Timeline.S, calmUs - 1), () -> strike(fault));
                 }
@@ -277,8 +277,8 @@
             Node.Process process = node.process();
             process.receive(() -> {
                 oracle.opened(process, call);
-                process.lanes.get(shardOf(call.key().topic(), call.key().subject())).handle(
-                        new CopyEvent.Propose(call.key(), call.id(), call.replaces(), call.payload()));
+                process.lanes.get(shardOf(call.key.topic(), call.key.subject())).handle(
+                        new CopyEvent.Propose(call.key, call.id, call.replaces, call.payload));
             });
         }
         if (time.chance(0.4) && time.nowUs() < calmUs) {
@@ -312,7 +312,7 @@
             oracle.probing(call);
             node.process().receive(() -> {
                 oracle.opened(node.process(), call);
-                node.process().lanes.get(shardOf(key.topic(), key.subject())).handle(new CopyEvent.Propose(key, call.id(), null, call.payload()));
+                node.process().lanes.get(shardOf(key.topic(), key.subject())).handle(new CopyEvent.Propose(key, call.id, null, call.payload));
             });
         }
     }
--- a/fleet/src/test/java/walkpost/fleet/sim/Oracle.java
+++ b/fleet/src/test/java/walkpost/fleet/sim/Oracle.java
@@ -37,10 +37,10 @@
 
     /** An operator's order, sent once or more often. */
     static final class Call {
-        private final Order.Key key;
-        private final String id;
-        private final String replaces;
-        private final String payload;
+        final Order.Key key;
+        final String id;
+        final String replaces;
+        final String payload;
         private final Deque<Node.Process> open = new ArrayDeque<>();
         private boolean uncertain;
         private long acknowledgedUs = -1;
@@ -53,22 +53,6 @@
             this.payload = payload;
         }
 
-        Order.Key key() {
-            return key;
-        }
-
-        String id() {
-            return id;
-        }
-
-        String replaces() {
-            return replaces;
-        }
-
-        String payload() {
-            return payload;
-        }
-
         private boolean refused() {
             return open.isEmpty() && !uncertain && acknowledgedUs < 0;
         }
