--- a/lab/src/main/java/walkpost/lab/ledger/Seen.java
+++ b/lab/src/main/java/walkpost/lab/ledger/Seen.java
@@ -19,7 +19,8 @@
     @JsonSubTypes.Type(value = Seen.Called.class, name = "called"), @JsonSubTypes.Type(value = Seen.Told.class, name = "told"),
     @JsonSubTypes.Type(value = Seen.Listed.class, name = "listed"), @JsonSubTypes.Type(value = Seen.ProxyIs.class, name = "proxy"),
     @JsonSubTypes.Type(value = Seen.FaultIs.class, name = "fault"), @JsonSubTypes.Type(value = Seen.PeerIs.class, name = "peer"),
-    @JsonSubTypes.Type(value = Seen.Used.class, name = "used"), @JsonSubTypes.Type(value = Seen.Sampled.class, name = "sampled"), @JsonSubTypes.Type(value = Seen.Finished.class, name = "finished"),
+    @JsonSubTypes.Type(value = Seen.Used.class, name = "used"), @JsonSubTypes.Type(value = Seen.Sampled.class, name = "sampled"),
+    @JsonSubTypes.Type(value = Seen.Finished.class, name = "finished"),
     @JsonSubTypes.Type(value = Seen.DoorCalled.class, name = "door_called"),
     @JsonSubTypes.Type(value = Seen.DoorAnswered.class, name = "door_answered"),
     @JsonSubTypes.Type(value = Seen.CopyGone.class, name = "copy_gone")})
