--- a/fleet/src/test/java/walkpost/fleet/sim/Oracle.java
+++ b/fleet/src/test/java/walkpost/fleet/sim/Oracle.java
@@ -37,10 +37,10 @@
 
     /** An operator's order, sent once or more often. */
     static final class Call {
-        private final Order.Key key;
-        private final String id;
-        private final String replaces;
-        private final String payload;
+        final Order.Key key;
+        final String id;
+        final String replaces;
+        final String payload;
         private final Deque<Node.Process> open = new ArrayDeque<>();
         private boolean uncertain;
         private long acknowledgedUs = -1;
@@ -53,22 +53,6 @@
             this.payload = payload;
         }
 
-        Order.Key key() {
-            return key;
-        }
-
-        String id() {
-            return id;
-        }
-
-        String replaces() {
-            return replaces;
-        }
-
-        String payload() {
-            return payload;
-        }
-
         private boolean refused() {
             return open.isEmpty() && !uncertain && acknowledgedUs < 0;
         }
@@ -278,7 +262,8 @@
             }
             if (before != null && !before.id.equals(promised.id()) && (nowUs - before.atUs) / RATE < Cluster.COPY.promiseUs()
                     && !decided.containsKey(before.id) && !givenUp.contains(before.round)) {
-                throw new Violation(Rule.PROMISE, lane.owner.node().name + " promises " + key + " to " + before.id + " and " + promised.id());
+                throw new Violation(Rule.PROMISE, lane.owner.node().name + " promises " + key + " to " + before.id
+                        + " and " + promised.id());
             }
         } else if (message instanceof CopyMessage.Forget forget) {
             cluster.time.note("%s[%d] forgets round %d", lane.owner.node().name, lane.shard, forget.round());
@@ -380,7 +365,8 @@
         }
         if (view.level && (directories || lastKillUs < 0)) {
             calls.values().stream().filter(call -> call.acknowledgedUs >= 0 && call.acknowledgedUs < view.lostUs)
-                    .filter(call -> cluster.shardOf(call.key.topic(), call.key.subject()) == lane.shard).forEach(call -> kept(name, call, byKey.get(call.key)));
+                    .filter(call -> cluster.shardOf(call.key.topic(), call.key.subject()) == lane.shard)
+                    .forEach(call -> kept(name, call, byKey.get(call.key)));
         }
     }
 
