Let proxies take turns at a cold server where their part is under one request

Cause: a proxy's budget of a cold server was capped at one request at least, however small its part (`Math.max(1, ...)` in `Policy.coldBudget`). After a lull, or with all proxies restarted after one, each had saved up one: a hundred could send together. Also the guess for a kind without answers hung on the order of the classes (`classes().get(0)`). Change: a turn that was not used is over after the window in which a cold server falls, and the next comes in its own time; phases stay spread, as each proxy's seed set them. An unknown kind is guessed by the longest aim, whatever the order.

--- a/proxy/src/main/java/walkpost/Policy.java
+++ b/proxy/src/main/java/walkpost/Policy.java
@@ -75,6 +75,7 @@
     private double meanCostUs;
     private int costs;
     private long crowdUs;
+    private long longestAimUs;
     private final List<Request> held = new ArrayList<>();
     private double room;
     private double spare;
@@ -104,7 +105,8 @@
         next.tenants().forEach(t -> quotas.put(t.name(), new Quota(t, next, quotas.get(t.name()))));
         var aims = next.classes().stream().mapToLong(RequestClass::aimUs).summaryStatistics();
         crowdUs = (long) (CROWD * aims.getMin());
-        refreshUs = 2 * aims.getMax();
+        longestAimUs = aims.getMax();
+        refreshUs = 2 * longestAimUs;
         // What first tries are left tells of the deadlines that were.
         leastLeft.clear();
     }
@@ -584,17 +586,22 @@
      * Rule 4: what a cold backend may still be sent, in requests. A quarter of this proxy's part of the
      * budget may come at once and the rest in the course of each window: no window holds more than the whole.
      * The capacity is a guess: what backends of its weight bear by our answers, or one request at a time.
+     *
+     * <p>Where a part is less than one request, proxies take turns, by when each began to save. A turn that was not
+     * used is over after a window and the next comes in its time: if all saved up, after a lull all would send at once.
      */
     private double coldBudget(Server s) {
         double warmth = warmth(s);
         if (warmth >= 1) {
             return Double.POSITIVE_INFINITY;
         }
-        double requestUs = s.kind.samples > 0 ? s.kind.meanUs : settings.classes().get(0).aimUs();
+        double requestUs = s.kind.samples > 0 ? s.kind.meanUs : longestAimUs;
         double perUs = Math.max(1 / (requestUs * settings.balancers()), borne * s.weight * servers.size());
         double budgetPerUs = COLD_MARGIN * rules.fallMultiple() * warmth * perUs;
-        s.coldTokens = Math.min(Math.max(1, budgetPerUs * rules.fallUs() / 4),
-                s.coldTokens + 0.75 * budgetPerUs * (now - s.coldTokensAt));
+        double budget = budgetPerUs * rules.fallUs();
+        double atOnce = Math.max(budget / 4, Math.min(1, 0.75 * budget));
+        s.coldTokens += 0.75 * budgetPerUs * (now - s.coldTokensAt);
+        s.coldTokens -= Math.max(0, Math.ceil(s.coldTokens - atOnce - 1));
         s.coldTokensAt = now;
         return s.coldTokens;
     }
