Take no list that was overtaken, nor anything from an address that was left

Cause: the answer of a call for the whole list was taken whatever its version, so one that was on its way while the watch brought a change gave the draining backend back; the other way round, a late answer of the watch undid a newer whole list. After a move only the watch was ended, and a call for the whole list at the old address was still heard. Changes of a discovery that had begun anew, at a lower version, were applied to the list of its former life. Change: ListVersion, pure, judges each answer by what was held when its call was made, within one life of discovery. A move, or a lower version that nothing can have overtaken, begins another life. What was overtaken is asked for again, as is the whole list after changes without a base; a move ends all that is open and asks for it at the new address. A second call for the whole list ends the first, so six descriptors are the most. A version below 0 and changes in place of a whole list are refused. Asking is LongPoll now, and Call ListRequest, in a file of its own; whole lists that come again and again without news no longer go in a tight loop.

--- a/proxy/src/main/java/walkpost/proxy/Discovery.java
+++ b/proxy/src/main/java/walkpost/proxy/Discovery.java
@@ -2,29 +2,10 @@
 
 import walkpost.Balancer;
 import walkpost.Balancer.ListKind;
+import walkpost.proxy.ListVersion.Verdict;
 import com.fasterxml.jackson.databind.JsonNode;
-import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBufInputStream;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
-import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
@@ -33,13 +14,13 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Asks discovery for the list of backends. A watch is a row of calls, each sent as soon as the last is answered. One that says nothing is
- * made again beside, as {@link ListClock} has it; when all fail the watch is over, the module is told, and it is the module that asks
- * again, later each time.
+ * Asks discovery for the list of backends. A watch is a row of long polls, each begun as soon as the last is answered. One that says
+ * nothing is made again beside, as {@link ListClock} has it; when all fail the watch is over, the module is told, and it is the module
+ * that asks again, later each time. An answer that was overtaken is not taken ({@link ListVersion}). It holds six descriptors at most: a
+ * watch and a call for the whole list may be open at once, and each is made thrice.
  */
 final class Discovery {
     private static final String PATH = "/v1/endpoints";
-    private static final int MAX_ANSWER = 8 * 1024 * 1024;
     /**
      * The first call is waited for so long; then the list of the last life will do. Where many proxies start at once,
      * discovery answers one after the other, and all that wait for it are missing to their clients.
@@ -54,18 +35,25 @@
     private final EventLoop loop;
     private final Log log = new Log("discovery");
     private final Proxy proxy;
+    private final ListRequest.Maker requests;
     private boolean pushed;
     private ListClock clock;
     private final SplittableRandom random;
     private InetSocketAddress address;
     private boolean wanted;
-    private Asking watch;
-    private long version = -1;
+    private LongPoll watch;
+    private LongPoll fetch;
+    private ListVersion version = ListVersion.NONE;
     private boolean settled;
 
     Discovery(EventLoop loop, Proxy proxy, InetSocketAddress address, Balancer.Settings settings) {
+        this(loop, proxy, address, settings, (to, uri, connectMs, hearer) -> new ListRequest(loop, to, uri, connectMs, hearer)::end);
+    }
+
+    Discovery(EventLoop loop, Proxy proxy, InetSocketAddress address, Balancer.Settings settings, ListRequest.Maker requests) {
         this.loop = loop;
         this.proxy = proxy;
+        this.requests = requests;
         this.address = address;
         this.random = new SplittableRandom(settings.seed());
         tune(settings);
@@ -85,7 +73,7 @@
     /** Takes in the list that this proxy had in its last life, if any; the module begins with this. */
     void known(JsonNode list) {
         if (list != null) {
-            version = list.path("version").asLong(-1);
+            version = new ListVersion(version.life(), list.path("version").asLong(-1));
         }
         loop.schedule(() -> settled = true, FIRST_ANSWER_MS, TimeUnit.MILLISECONDS);
         take(ListKind.CACHED, list == null ? Config.JSON.createObjectNode() : list);
@@ -102,53 +90,77 @@
             watch = null;
         } else if (on && watch == null) {
             // The first call does not wait: what was missed comes at once, or the news that there is none.
-            watch = new Asking(true, 0);
+            watch = new LongPoll(true, 0);
         }
     }
 
     /**
-     * Goes on at another address. The old one is about to hang up, so the watch there is ended; the new one is asked
-     * for the whole list, whatever the old one has told.
+     * Goes on at another address. The old one is about to hang up, so all that is asked there is ended and asked at the new one; this is
+     * asked for the whole list, whatever the old one has told.
      */
     void moveTo(InetSocketAddress place) {
         if (place.equals(address)) {
             return;
         }
         address = place;
-        version = -1;
+        version = version.forgotten();
         boolean on = wanted;
         watch(false);
         watch(on);
+        if (fetch != null) {
+            fetch();
+        }
     }
 
-    /** Asks for the whole list, once. */
+    /** Asks for the whole list, once. One that is asked for already may be older than this wish, so it is asked for anew. */
     void fetch() {
-        new Asking(false, 0);
+        if (fetch != null) {
+            fetch.end();
+        }
+        fetch = new LongPoll(false, 0);
     }
 
-    private void answered(Asking asking, JsonNode list, long tookMs) {
+    private void failed(LongPoll poll) {
         settled = true;
-        if (list == null) {
-            watch = asking == watch ? null : watch;
-            failed();
-            return;
+        if (poll == watch) {
+            watch = null;
+        } else {
+            fetch = null;
         }
-        if (asking == watch) {
-            version = list.path("version").asLong();
-            if (tookMs >= asking.patience.waitMs() / 2 || !list.path("servers").isEmpty()) {
-                // Before the news is taken in: a watch is over 200 ms after its last answer.
-                goOn(asking);
-            } else {
-                // One that answers at once without any news would be asked as fast as the CPU allows.
-                loop.schedule(() -> goOn(asking), NO_NEWS_MS, TimeUnit.MILLISECONDS);
+        failed();
+    }
+
+    private void answered(LongPoll poll, ListVersion asked, JsonNode list, long tookMs) {
+        settled = true;
+        long number = list.path("version").asLong();
+        boolean full = list.path("full").asBoolean();
+        Verdict verdict = version.judge(asked, number, full);
+        boolean news = verdict == Verdict.TAKE && (number > version.number() && !list.path("servers").isEmpty());
+        if (verdict != Verdict.TAKE) {
+            log.warn("list_out_of_order", "version", number, "full", full, "holding", version.number(), "verdict", verdict);
+        }
+        version = version.after(verdict, number);
+        if (poll != watch) {
+            fetch = null;
+            if (verdict == Verdict.OVERTAKEN) {
+                fetch();
             }
+        } else if (news || tookMs >= poll.patience.waitMs() / 2 && verdict == Verdict.TAKE) {
+            // Before the news is taken in: a watch is over 200 ms after its last answer.
+            goOn(poll);
+        } else {
+            // One that answers at once without any news would be asked as fast as the CPU allows.
+            loop.schedule(() -> goOn(poll), NO_NEWS_MS, TimeUnit.MILLISECONDS);
+        }
+        if (verdict == Verdict.TAKE || verdict == Verdict.TAKE_ANEW) {
+            take(full ? ListKind.FULL : ListKind.DELTA, list);
         }
-        take(list.path("full").asBoolean() ? ListKind.FULL : ListKind.DELTA, list);
     }
 
-    private void goOn(Asking answered) {
+    private void goOn(LongPoll answered) {
         if (watch == answered) {
-            watch = new Asking(true, clock.waitMs(answered.patience.waitMs() == 0, random.nextDouble()));
+            // The whole list is there at once.
+            watch = new LongPoll(true, version.held() ? clock.waitMs(answered.patience.waitMs() == 0, random.nextDouble()) : 0);
         }
     }
 
@@ -187,25 +199,25 @@
                 weight), address);
     }
 
-    /** A call, and those made beside it while it says nothing: the first sound answer ends them all. */
-    private final class Asking {
+    /** A call that may wait, and those made beside it while it says nothing: the first sound answer ends them all. */
+    private final class LongPoll {
         private final boolean watching;
         private final ListClock.Patience patience;
-        private final long beganNs = System.nanoTime();
-        private final List<Call> calls = new ArrayList<>(1);
+        private final long beganNs = loop.ticker().nanoTime();
+        private final List<Runnable> ends = new ArrayList<>(1);
         private final List<Future<?>> timers = new ArrayList<>(1);
         private int open;
         private boolean ended;
 
-        Asking(boolean watching, long waitMs) {
+        LongPoll(boolean watching, long waitMs) {
             this.watching = watching;
             patience = clock.patience(waitMs);
             patience.againMs().forEach(at -> later(at, () -> {
                 log.warn("asked_again", "after_ms", at, "waiting_ms", waitMs);
                 call(0);
             }));
-            // Guards against a discovery that is cut off and says nothing: TCP alone would never tell.
-            later(patience.giveUpMs(), () -> finish(null, "no answer in time"));
+            // Guards against a discovery that is cut off and says nothing, or whose answer never ends: TCP alone would never tell.
+            later(patience.giveUpMs(), () -> fail("no answer in time"));
             call(waitMs);
         }
 
@@ -215,118 +227,42 @@
 
         private void call(long waitMs) {
             open++;
-            calls.add(new Call(this, watching && version >= 0 ? PATH + "?from=" + version + "&hold_ms=" + waitMs : PATH));
-        }
-
-        void brought(JsonNode list) {
-            finish(list, null);
-        }
-
-        /** One call has failed: all is lost only if no other is open. */
-        void failed(String trouble) {
-            if (--open == 0) {
-                finish(null, trouble);
-            }
-        }
-
-        private void finish(JsonNode list, String trouble) {
-            if (!ended) {
-                end();
-                if (list == null) {
-                    log.warn("call_failed", "reason", trouble);
+            ListVersion asked = version;
+            boolean changes = watching && asked.held();
+            String uri = changes ? PATH + "?from=" + asked.number() + "&hold_ms=" + waitMs : PATH;
+            ends.add(requests.make(address, uri, clock.connectMs(), new ListRequest.Hearer() {
+                @Override
+                public void brought(JsonNode list) {
+                    if (!changes && !list.path("full").asBoolean()) {
+                        failed("the answer is no whole list");
+                    } else if (!ended) {
+                        end();
+                        answered(LongPoll.this, asked, list, TimeUnit.NANOSECONDS.toMillis(loop.ticker().nanoTime() - beganNs));
+                    }
                 }
-                answered(this, list, TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - beganNs));
-            }
-        }
 
-        void end() {
-            ended = true;
-            timers.forEach(t -> t.cancel(false));
-            calls.forEach(Call::end);
-        }
-    }
-
-    /** One call, on a connection of its own: a few in a minute are not worth keeping any. */
-    private final class Call extends SimpleChannelInboundHandler<FullHttpResponse> {
-        private final Asking asking;
-        private final String uri;
-        private final Channel channel;
-        private boolean ended;
-
-        Call(Asking asking, String uri) {
-            this.asking = asking;
-            this.uri = uri;
-            ChannelFuture connect = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, clock.connectMs())
-                    .handler(new ChannelInitializer<Channel>() {
-                        @Override
-                        protected void initChannel(Channel ch) {
-                            ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_ANSWER),
-                                    Call.this);
-                        }
-                    }).connect(address);
-            channel = connect.channel();
-            connect.addListener(f -> {
-                if (!f.isSuccess()) {
-                    // Without a descriptor the news come at once, from another thread.
-                    loop.execute(() -> fail("no connection"));
-                }
-            });
-        }
-
-        @Override
-        public void channelActive(ChannelHandlerContext ctx) {
-            var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri);
-            request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
-            HttpUtil.setKeepAlive(request, false);
-            ctx.writeAndFlush(request);
-        }
-
-        @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
-            if (!response.status().equals(HttpResponseStatus.OK) || response.decoderResult().isFailure()) {
-                fail("answer " + response.status());
-                return;
-            }
-            try (InputStream body = new ByteBufInputStream(response.content())) {
-                JsonNode list = Config.JSON.readTree(body);
-                if (list.path("version").canConvertToLong() && list.path("full").isBoolean() && list.path("servers").isArray()) {
-                    bring(list);
-                } else {
-                    fail("the answer is no list");
+                /** All is lost only if no other call is open. */
+                @Override
+                public void failed(String trouble) {
+                    if (--open == 0) {
+                        fail(trouble);
+                    }
                 }
-            } catch (IOException e) {
-                fail("the answer is not JSON");
-            }
-        }
-
-        @Override
-        public void channelInactive(ChannelHandlerContext ctx) {
-            fail("the connection broke");
-        }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            fail(cause.toString());
-        }
-
-        private void bring(JsonNode list) {
-            if (!ended) {
-                end();
-                asking.brought(list);
-            }
+            }));
         }
 
         private void fail(String trouble) {
             if (!ended) {
                 end();
-                asking.failed(trouble);
+                log.warn("call_failed", "reason", trouble);
+                Discovery.this.failed(this);
             }
         }
 
         void end() {
             ended = true;
-            channel.close();
+            timers.forEach(t -> t.cancel(false));
+            ends.forEach(Runnable::run);
         }
     }
 }
--- a/proxy/src/test/java/walkpost/proxy/DiscoveryTest.java
+++ b/proxy/src/test/java/walkpost/proxy/DiscoveryTest.java
@@ -116,7 +116,10 @@
     @ValueSource(strings = {"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nha",
         "", "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nnot JSON", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]", "rubbish\r\n\r\n",
         "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n{\"version\":\"x\",\"full\":true,\"servers\":[]}"})
+        "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n{\"version\":\"x\",\"full\":true,\"servers\":[]}",
+        "HTTP/1.1 200 OK\r\nContent-Length: 39\r\n\r\n{\"version\":-5,\"full\":true,\"servers\":[]}",
+        "HTTP/1.1 200 OK\r\n\r\n{\"version\":42,\"full\":true,\"servers\":[",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n28\r\n{\"version\":42,\"full\":true,\"servers\":[]} \r\n"})
     void tellsOfAFailedCall(String answer) throws Exception {
         try (var proxy = new Fixture(watcher())) {
             proxy.next(Members.class);
@@ -213,6 +216,128 @@
         }
     }
 
+    /** Watches, and asks for the whole list besides. */
+    private static Fixture.Module watcherThatFetches() {
+        return (event, actions) -> {
+            if (event instanceof Members m && m.kind() == ListKind.CACHED) {
+                actions.accept(new Watch(true));
+                actions.accept(new Fetch());
+            }
+        };
+    }
+
+    /** Accepts calls until one begins so, and leaves the others open. */
+    private static Wire call(Peer discovery, String begin) throws Exception {
+        while (true) {
+            Wire call = discovery.accept();
+            if (call.read().first().startsWith(begin)) {
+                return call;
+            }
+        }
+    }
+
+    /** The older list would bring the draining backend back. */
+    @Test
+    void aWholeListThatAChangeHasOvertakenIsNotTakenButAskedForAgain() throws Exception {
+        try (var proxy = new Fixture(watcherThatFetches())) {
+            proxy.next(Members.class);
+            // The module's actions are carried out in turn.
+            Wire watch = call(proxy.discovery, "GET /v1/endpoints?from=41&");
+            Wire fetch = call(proxy.discovery, "GET /v1/endpoints HTTP");
+            watch.send(Peer.ok(Fixture.list(43, false, Fixture.entry("s1", "127.0.0.1:1", "draining"))));
+            assertThat(proxy.next(Members.class).kind()).isEqualTo(ListKind.DELTA);
+            fetch.send(Peer.ok(Fixture.list(42, true, Fixture.entry("s1", "127.0.0.1:1", "ready"))));
+            call(proxy.discovery, "GET /v1/endpoints HTTP")
+                    .send(Peer.ok(Fixture.list(43, true, Fixture.entry("s1", "127.0.0.1:1", "draining"))));
+            Members next = proxy.next(Members.class);
+            assertThat(next.kind()).isEqualTo(ListKind.FULL);
+            assertThat(next.backends()).extracting(Backend::state).containsExactly(State.DRAINING);
+        }
+    }
+
+    @Test
+    void aChangeThatAWholeListHasOvertakenIsNotTaken() throws Exception {
+        try (var proxy = new Fixture(watcherThatFetches())) {
+            proxy.next(Members.class);
+            Wire watch = call(proxy.discovery, "GET /v1/endpoints?from=41&");
+            call(proxy.discovery, "GET /v1/endpoints HTTP")
+                    .send(Peer.ok(Fixture.list(44, true, Fixture.entry("s1", "127.0.0.1:1", "draining"))));
+            assertThat(proxy.next(Members.class).kind()).isEqualTo(ListKind.FULL);
+            watch.send(Peer.ok(Fixture.list(43, false, Fixture.entry("s1", "127.0.0.1:1", "ready"))));
+            assertThat(proxy.discovery.accept().read().first()).contains("?from=44&");
+            assertThat(proxy.events).isEmpty();
+        }
+    }
+
+    @Test
+    void whatTheOldAddressHasStillToSayIsNotHeard(@TempDir Path dir) throws Exception {
+        try (var moved = new Peer(); var proxy = new Fixture(watcherThatFetches())) {
+            proxy.next(Members.class);
+            call(proxy.discovery, "GET /v1/endpoints?from=41&");
+            Wire old = call(proxy.discovery, "GET /v1/endpoints HTTP");
+            proxy.reconfigure(Files.writeString(dir.resolve("config.json"),
+                    Fixture.config().put("discovery", moved.address()).toString()));
+            Wire first = moved.accept();
+            old.send(Peer.ok(Fixture.list(99, true, Fixture.entry("s9", "127.0.0.1:1", "ready"))));
+            first.send(Peer.ok(Fixture.list(3, true, Fixture.entry("s1", "127.0.0.1:1", "ready"))));
+            for (int answers = 0; answers < 2; answers++) {
+                assertThat(proxy.next(Members.class).backends()).extracting(Backend::id).containsExactly("s1");
+                // One of the two was the watch, which goes on; the other is the whole list that the module had asked for.
+                if (answers == 0) {
+                    call(moved, "GET /v1/endpoints HTTP").send(Peer.ok(Fixture.list(3, true, Fixture.entry("s1", "127.0.0.1:1", "ready"))));
+                }
+            }
+        }
+    }
+
+    @Test
+    void changesOfADiscoveryThatHasBegunAnewAreNoUseWithoutItsWholeList() throws Exception {
+        try (var proxy = new Fixture(watcher())) {
+            proxy.next(Members.class);
+            Wire call = proxy.discovery.accept();
+            call.read();
+            call.send(Peer.ok(Fixture.list(3, false, Fixture.entry("s1", "127.0.0.1:1", "draining"))));
+            call = proxy.discovery.accept();
+            assertThat(call.read().first()).isEqualTo("GET /v1/endpoints HTTP/1.1");
+            call.send(Peer.ok(Fixture.list(4, true, Fixture.entry("s2", "127.0.0.1:1", "ready"))));
+            assertThat(proxy.next(Members.class).backends()).extracting(Backend::id).containsExactly("s2");
+            assertThat(proxy.discovery.accept().read().first()).contains("?from=4&");
+        }
+    }
+
+    @Test
+    void aDiscoveryThatHasBegunAnewIsFollowed() throws Exception {
+        try (var proxy = new Fixture(watcher())) {
+            proxy.next(Members.class);
+            Wire call = proxy.discovery.accept();
+            call.read();
+            call.send(Peer.ok(Fixture.list(3, true, Fixture.entry("s2", "127.0.0.1:1", "ready"))));
+            assertThat(proxy.next(Members.class).backends()).extracting(Backend::id).containsExactly("s2");
+            assertThat(proxy.discovery.accept().read().first()).contains("?from=3&");
+        }
+    }
+
+    /** One that grows without end is not kept in memory, and one call has failed, no more. */
+    @Test
+    void anAnswerThatGrowsWithoutEndHasFailed() throws Exception {
+        try (var proxy = new Fixture(watcher())) {
+            proxy.next(Members.class);
+            Wire call = proxy.discovery.accept();
+            call.read();
+            try {
+                call.send("HTTP/1.1 200 OK\r\n\r\n{\"version\":42,\"full\":true,\"servers\":[");
+                for (int megabytes = 0; megabytes < 64; megabytes++) {
+                    call.send(" ".repeat(1 << 20));
+                }
+            } catch (java.io.IOException e) {
+                // The proxy has hung up: just what is to be.
+            }
+            assertThat(proxy.next(Members.class).kind()).isEqualTo(ListKind.FAILED);
+            assertThat(call.ended()).isTrue();
+            assertThat(proxy.discovery.accept().read().first()).contains("from=41&hold_ms=0");
+        }
+    }
+
     @Test
     void aConfigurationThatIsNoGoodChangesNothing(@TempDir Path dir) throws Exception {
         try (var proxy = new Fixture(watcher())) {
