Ask for the list again within the 6 s after which a change counts, whatever the settings

Cause: after a call that failed the module waited for a part of the time within which a proxy has to ask, up to 3/8 of it: 3.75 s for 10 s, 22 s for 60 s. A change counts as told 6 s after discovery had it and could be reached. Change: BackOff, pure, owns that wait. It grows as before and ends at 2.4 s; past that the draw is stretched over what is left, so proxies still don't ask in step. ListClock's Javadoc has the sum of every row: what ends after discovery is back, back-off, silence, answer.

--- a/proxy/src/main/java/walkpost/Policy.java
+++ b/proxy/src/main/java/walkpost/Policy.java
@@ -321,8 +321,8 @@
     private void members(Members news) {
         if (news.kind() == ListKind.FAILED) {
             // A call that failed is made again, later each time and not in step with the other proxies.
-            failedAsks = Math.min(failedAsks + 1, 4);
-            askIn((long) (rules.askWithinUs() / 64.0 * (1 << failedAsks) * (0.5 + random.nextDouble())));
+            failedAsks++;
+            askIn(BackOff.us(rules.askWithinUs(), failedAsks, random.nextDouble()));
             return;
         }
         if (news.kind() != ListKind.CACHED) {
--- a/proxy/src/main/java/walkpost/proxy/ListClock.java
+++ b/proxy/src/main/java/walkpost/proxy/ListClock.java
@@ -10,6 +10,24 @@
  * not it arrived (STANDING, "One clock for silence"). Nothing tells a silent watch from one without news before its wait is over.
  * So a wait is short, and once it is over the list is asked for again at once, beside the call that says nothing: that one may
  * be late only. The first to answer ends the others. Two are made, as the first may fall silent too.
+ *
+ * <p>After a call that was refused, failed or given up, a change counts as told 6 s after discovery had it and could be reached. It may
+ * be reached from the very moment on in which the last step that could fail was begun. So no row may sum up to more than 6 s, in
+ * seconds, where a service is asked; {@link walkpost.BackOff} is the module's, 2.4 s at most, and an answer is here 1.5 s after its
+ * call where a hundred ask at once:
+ * <pre>
+ * the last step before discovery could be reached   until it ends   back-off   asked again    answer   sum
+ * refused, answered by 503, or broken off at once             0.0        2.4             -       1.5   3.9
+ * a connection that never came up                             1.0        2.4             -       1.5   4.9
+ * an answer broken off, or 503 after 2 s in turn              2.0        2.4             -       1.5   5.9
+ * the last of three calls, the others silent                  2.0        2.4             -       1.5   5.9
+ * the same, of a call that waited                             1.9        2.4             -       1.5   5.8
+ * back-off, and then a call that says nothing                   -        2.4           2.0       1.5   5.9
+ * silence, or an answer without end                             -          -           2.0       1.5   3.5
+ * the same twice running                                        -          -           4.0       1.5   5.5
+ * the same of a call that waits, 3.5 s                          -          -           4.1       1.5   5.6
+ * </pre>
+ * What the last row has twice running is late by 0.1 s where an answer takes all of 1.5 s: sends may go on for 0.35 s.
  */
 final class ListClock {
     /** What a call is worth waiting for. {@code againMs}: when to ask again beside it, counted from its beginning. */
--- a/proxy/src/test/java/walkpost/proxy/ListClockTest.java
+++ b/proxy/src/test/java/walkpost/proxy/ListClockTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import walkpost.BackOff;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Stream;
@@ -12,7 +13,7 @@
 
 /** Each sentence of STANDING on silence, against the clock that asks again; times in milliseconds from a call's beginning. */
 class ListClockTest {
-    private static final long[] ASK_WITHIN = {500, 1_900, 5_000, 10_000, 60_000};
+    private static final long[] ASK_WITHIN = {500, 1_900, 5_000, 10_000, 20_000, 60_000, 600_000};
 
     static Stream<Arguments> clocks() {
         return Stream.of(true, false).flatMap(pushed -> java.util.Arrays.stream(ASK_WITHIN)
@@ -81,6 +82,22 @@
         }
     }
 
+    /** After a call that failed: the rows of {@link ListClock}'s table with the module's back-off, each within the page's 6 s. */
+    @Test
+    void aCallThatFailedIsMadeAgainBeforeWhatItMissedCounts() {
+        long backOff = BackOff.LONGEST_US / 1_000;
+        for (long within : ASK_WITHIN) {
+            var clock = new ListClock(false, within);
+            for (long wait : waits(clock)) {
+                ListClock.Patience patience = clock.patience(wait);
+                long last = patience.giveUpMs() - patience.againMs().get(patience.againMs().size() - 1);
+                assertThat(last + backOff + 1_500).as("given up").isLessThan(6_000);
+            }
+            assertThat(clock.connectMs() + backOff + 1_500).as("no connection").isLessThan(6_000);
+            assertThat(backOff + learned(clock.patience(0), 1, 1_500)).as("silent after it").isLessThan(6_000);
+        }
+    }
+
     /** Empty answers are work for a service that all share, and a second call would be as much again. */
     @ParameterizedTest
     @MethodSource("clocks")
