Watch where lists are pushed from now on, though the module was to ask again later

Cause: after a failed call the module waits and asks again. Settings that have lists pushed took its timer away, but did not begin the watch that is discovery's own then: with discovery at the same address the list was never asked for again. Change: Discovery.tune begins the watch where lists are pushed; one that goes on is left alone. Result: DiscoveryTest.listsThatArePushedFromNowOnAreAskedForWhateverTheModuleMeantToDo waited 10 s in vain on the old code and passes now.

--- a/proxy/src/main/java/walkpost/proxy/Discovery.java
+++ b/proxy/src/main/java/walkpost/proxy/Discovery.java
@@ -56,11 +56,18 @@
         this.requests = requests;
         this.address = address;
         this.random = new SplittableRandom(settings.seed());
-        tune(settings);
+        take(settings);
     }
 
-    /** Takes settings over, the first or others. */
+    /** Takes other settings over. Where lists are pushed from now on nobody else asks: a module that was to ask again need not any more. */
     void tune(Balancer.Settings settings) {
+        take(settings);
+        if (pushed) {
+            watch(true);
+        }
+    }
+
+    private void take(Balancer.Settings settings) {
         pushed = !settings.limits().listMustBeAsked();
         clock = new ListClock(pushed, settings.rules().askWithinUs() / 1_000);
     }
--- a/proxy/src/test/java/walkpost/proxy/DiscoveryTest.java
+++ b/proxy/src/test/java/walkpost/proxy/DiscoveryTest.java
@@ -338,6 +338,26 @@
         }
     }
 
+    /** The module is to ask again later; where lists are pushed meanwhile it no longer does. */
+    @Test
+    void listsThatArePushedFromNowOnAreAskedForWhateverTheModuleMeantToDo(@TempDir Path dir) throws Exception {
+        try (var proxy = new Fixture((event, actions) -> {
+            if (event instanceof Members m && m.kind() == ListKind.CACHED) {
+                actions.accept(new Watch(true));
+            }
+        })) {
+            Wire call = proxy.discovery.accept();
+            call.read();
+            call.send("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+            proxy.next(Members.class);
+            assertThat(proxy.next(Members.class).kind()).isEqualTo(ListKind.FAILED);
+            ObjectNode config = Fixture.config().put("discovery", proxy.discovery.address());
+            ((ObjectNode) config.path("settings")).put("registry_mode", "pushed");
+            proxy.reconfigure(Files.writeString(dir.resolve("config.json"), config.toString()));
+            assertThat(proxy.discovery.accept().read().first()).contains("from=41&hold_ms=0");
+        }
+    }
+
     @Test
     void aConfigurationThatIsNoGoodChangesNothing(@TempDir Path dir) throws Exception {
         try (var proxy = new Fixture(watcher())) {
