Ask for the whole list once a change in it made no sense

Cause: an entry that makes no sense was left out, and its version held all the same. A change so lost, such as a drain, never came again. Change: after changes with such an entry the watch asks for the whole list, once: there a backend whose entry is spoilt still is not listed. Result: DiscoveryTest.asksForTheWholeListOnceAChangeWasLeftOut failed on the old code (asked for changes since 42) and passes now. asksAgainBesideAnAnswerThatNeverEnds and a list with rubbish after it passed before: they only guard.

--- a/proxy/src/main/java/walkpost/proxy/Discovery.java
+++ b/proxy/src/main/java/walkpost/proxy/Discovery.java
@@ -83,7 +83,7 @@
             version = new ListVersion(version.life(), list.path("version").asLong(-1));
         }
         loop.schedule(() -> settled = true, FIRST_ANSWER_MS, TimeUnit.MILLISECONDS);
-        take(ListKind.CACHED, list == null ? Config.JSON.createObjectNode() : list);
+        proxy.members(ListKind.CACHED, list == null ? List.of() : entries(list));
         if (pushed) {
             watch(true);
         }
@@ -147,6 +147,11 @@
             log.warn("list_out_of_order", "version", number, "full", full, "holding", version.number(), "verdict", verdict);
         }
         version = version.after(verdict, number);
+        List<Backends.Listed> entries = entries(list);
+        if (verdict == Verdict.TAKE && !full && entries.size() < list.path("servers").size()) {
+            // A change was lost, such as a drain: only the whole list makes up for it.
+            version = version.forgotten();
+        }
         if (poll != watch) {
             fetch = null;
             if (verdict == Verdict.OVERTAKEN) {
@@ -160,7 +165,7 @@
             loop.schedule(() -> goOn(poll), NO_NEWS_MS, TimeUnit.MILLISECONDS);
         }
         if (verdict == Verdict.TAKE || verdict == Verdict.TAKE_ANEW) {
-            take(full ? ListKind.FULL : ListKind.DELTA, list);
+            proxy.members(full ? ListKind.FULL : ListKind.DELTA, entries);
         }
     }
 
@@ -180,7 +185,8 @@
         }
     }
 
-    private void take(ListKind kind, JsonNode list) {
+    /** Returns the entries of a list that make sense. */
+    private List<Backends.Listed> entries(JsonNode list) {
         var listed = new ArrayList<Backends.Listed>();
         for (JsonNode entry : list.path("servers")) {
             Backends.Listed line = line(entry);
@@ -190,7 +196,7 @@
                 listed.add(line);
             }
         }
-        proxy.members(kind, listed);
+        return listed;
     }
 
     private static Backends.Listed line(JsonNode entry) {
--- a/proxy/src/test/java/walkpost/proxy/DiscoveryTest.java
+++ b/proxy/src/test/java/walkpost/proxy/DiscoveryTest.java
@@ -118,6 +118,7 @@
         "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
         "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n{\"version\":\"x\",\"full\":true,\"servers\":[]}",
         "HTTP/1.1 200 OK\r\nContent-Length: 39\r\n\r\n{\"version\":-5,\"full\":true,\"servers\":[]}",
+        "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n{\"version\":42,\"full\":true,\"servers\":[]}}",
         "HTTP/1.1 200 OK\r\n\r\n{\"version\":42,\"full\":true,\"servers\":[",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n28\r\n{\"version\":42,\"full\":true,\"servers\":[]} \r\n"})
     void tellsOfAFailedCall(String answer) throws Exception {
@@ -181,6 +182,41 @@
         }
     }
 
+    /** A change that makes no sense may have been a drain. */
+    @Test
+    void asksForTheWholeListOnceAChangeWasLeftOut() throws Exception {
+        try (var proxy = new Fixture(watcher())) {
+            proxy.next(Members.class);
+            Wire call = proxy.discovery.accept();
+            call.read();
+            call.send(Peer.ok(Fixture.list(42, false, Fixture.entry("s1", "127.0.0.1:1", "draining"), Fixture.entry("s2", "", "draining"))));
+            assertThat(proxy.next(Members.class).backends()).extracting(Backend::id).containsExactly("s1");
+            call = proxy.discovery.accept();
+            assertThat(call.read().first()).isEqualTo("GET /v1/endpoints HTTP/1.1");
+            call.send(Peer.ok(Fixture.list(42, true, Fixture.entry("s2", "", "draining"))));
+            assertThat(proxy.next(Members.class).kind()).isEqualTo(ListKind.FULL);
+            // All that is known of it is taken: it is not asked for over and over.
+            assertThat(proxy.discovery.accept().read().first()).contains("?from=42&");
+        }
+    }
+
+    /** Bytes that trickle in are no answer: what counts is the time since the call. */
+    @Test
+    void asksAgainBesideAnAnswerThatNeverEnds() throws Exception {
+        try (var proxy = new Fixture(watcher())) {
+            proxy.next(Members.class);
+            Wire first = proxy.discovery.accept();
+            first.read();
+            first.send("HTTP/1.1 200 OK\r\n\r\n{\"version\":42,\"full\":true,\"servers\":[");
+            Wire again = proxy.discovery.accept();
+            first.send(" ");
+            again.read();
+            again.send(Peer.ok(Fixture.list(42, false, Fixture.entry("s1", "127.0.0.1:1", "draining"))));
+            assertThat(proxy.next(Members.class).kind()).isEqualTo(ListKind.DELTA);
+            assertThat(first.ended()).isTrue();
+        }
+    }
+
     @Test
     void fetchesTheWholeListOnce() throws Exception {
         try (var proxy = new Fixture((Event event, java.util.function.Consumer<walkpost.Balancer.Action> actions) -> {
