Take only an end that a backend has sent for the end of an answer without a length

Cause: Netty's decoder ends an answer that has neither length nor chunks at any close: also at this side's own (a long answer that falls silent, an attempt that the module cancels) and where a failed write has Netty close the connection. The part that had come was then passed on as whole.

Change: connections to backends may be half closed, so that the end which the backend sends is told apart from every other; the decoder, now in a file of its own, makes an end of an answer of nothing else. A connection on which that end has come is not kept. An interim answer behind the final one now ends the connection as any other answer there does.

Measured: on the code before, theCloseOfASilentAnswerIsNoEndOfIt and theCancelOfAnAnswerIsNoEndOfIt fail (the client reads a whole chunked answer). The other tests of this commit held before; they cover the resets read and the spoilt answers that had no test.

--- a/proxy/src/main/java/walkpost/proxy/Backends.java
+++ b/proxy/src/main/java/walkpost/proxy/Backends.java
@@ -14,18 +14,17 @@
 import io.netty.channel.pool.AbstractChannelPoolHandler;
 import io.netty.channel.pool.ChannelPoolHandler;
 import io.netty.channel.pool.SimpleChannelPool;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -33,7 +32,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
-import io.netty.util.AsciiString;
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.Promise;
 import java.net.SocketAddress;
@@ -104,7 +102,9 @@
         this.buffers = buffers;
         this.bootstrap = new Bootstrap().group(loop).channel(transport)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, Headers.readingLittle())
-                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, Headers.WATER_MARK);
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, Headers.WATER_MARK)
+                // Else nothing tells an end that the backend has sent from a close of this side's.
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true);
         tune(connIdleUs, connectTimeoutUs);
     }
 
@@ -215,10 +215,9 @@
                 @Override
                 public void channelCreated(Channel channel) {
                     sockets.backendOpened(channel);
-                    var decoder = new Decoder();
-                    channel.pipeline().addLast(decoder, new HttpRequestEncoder(),
-                            new IdleStateHandler(0, 0, idleUs, TimeUnit.MICROSECONDS),
-                            new Connection(Target.this, decoder));
+                    var connection = new Connection(Target.this);
+                    channel.pipeline().addLast(connection.decoder, new HttpRequestEncoder(),
+                            new IdleStateHandler(0, 0, idleUs, TimeUnit.MICROSECONDS), connection);
                 }
             });
         }
@@ -464,34 +463,10 @@
         }
     }
 
-    /** Netty's decoder; only requests that an answer may have a body for are ever sent, so it need not know them. */
-    private static final class Decoder extends HttpResponseDecoder {
-        Decoder() {
-            super(Headers.DECODING);
-        }
-
-        /** Netty takes a line like {@code no colon here} for a header named {@code no}; here it makes no answer. */
-        @Override
-        protected AsciiString splitHeaderName(byte[] line, int start, int length) {
-            Headers.requireColon(line, start + length);
-            return super.splitHeaderName(line, start, length);
-        }
-
-        @Override
-        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-            throw new IllegalArgumentException("a length told in two ways");
-        }
-
-        /** Returns whether all that has come is decoded. */
-        boolean isEmpty() {
-            return actualReadableBytes() == 0;
-        }
-    }
-
     /** The reading side of a connection to a backend. */
     private final class Connection extends SimpleChannelInboundHandler<HttpObject> implements Passage.Source {
         private final Target target;
-        private final Decoder decoder;
+        private final BackendDecoder decoder = new BackendDecoder();
         private Channel channel;
         private Attempt attempt;
         /** The answer that is coming, and what of it has come; a long one is passed on instead. */
@@ -506,9 +481,8 @@
         private boolean done;
         private boolean broken;
 
-        Connection(Target target, Decoder decoder) {
+        Connection(Target target) {
             this.target = target;
-            this.decoder = decoder;
         }
 
         @Override
@@ -521,8 +495,13 @@
             if (broken) {
                 return;
             }
-            if (message instanceof HttpResponse response && !interim(response)) {
-                head(response);
+            if (message instanceof HttpResponse response) {
+                if (attempt == null || done) {
+                    // An answer that nobody has asked for: what comes next on this connection can't be trusted.
+                    channel.close();
+                } else if (!interim(response)) {
+                    head(response);
+                }
             }
             if (message instanceof HttpContent content) {
                 content(content);
@@ -535,11 +514,6 @@
         }
 
         private void head(HttpResponse response) {
-            if (attempt == null || done) {
-                // An answer that nobody has asked for: what comes next on this connection can't be trusted.
-                channel.close();
-                return;
-            }
             head = response;
             sound = readable(response);
             if (!sound) {
@@ -603,7 +577,7 @@
             ByteBuf whole = body;
             Passage passed = passage;
             boolean reusable = trailers != null && a.written && HttpUtil.isKeepAlive(head) && target.open()
-                    && channel.isActive() && decoder.isEmpty();
+                    && channel.isActive() && decoder.isClear();
             HttpHeaders last = trailers;
             forget();
             // Back into the pool before the module hears: what it sends next may take this very connection.
@@ -699,6 +673,10 @@
                     ctx.close();
                 }
             }
+            if (event instanceof ChannelInputShutdownEvent) {
+                // The decoder has gone before: an answer that ends in this way is whole by now.
+                ctx.close();
+            }
             super.userEventTriggered(ctx, event);
         }
 
--- /dev/null
+++ b/proxy/src/test/java/walkpost/proxy/CrossingsTest.java
@@ -0,0 +1,156 @@
+package walkpost.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import walkpost.Balancer.Arrival;
+import walkpost.Balancer.AttemptEnded;
+import walkpost.Balancer.Cancel;
+import walkpost.Balancer.Outcome;
+import walkpost.Balancer.Send;
+import walkpost.Balancer.StreamStarted;
+import java.io.IOException;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Two things that happen at once on a connection to a backend; each test forces them to meet. */
+class CrossingsTest {
+    private static final String ENDLESS = "HTTP/1.1 200 OK\r\n\r\n";
+    private static final String LONG = ENDLESS + "0123456789abcdef".repeat(8_000);
+
+    private static void reset(Wire wire) throws IOException {
+        wire.socket.setSoLinger(true, 0);
+        wire.close();
+    }
+
+    /** Only an end that the backend has sent is one. */
+    @Test
+    void aResetIsNoEndOfALongAnswer() throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+            client.send(Fixture.get("r1"));
+            Wire attempt = backend.accept();
+            attempt.read();
+            attempt.send(LONG);
+            proxy.next(StreamStarted.class);
+            reset(attempt);
+            assertThatThrownBy(client::readChunked).isInstanceOf(IOException.class);
+            assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(Outcome.RESET);
+        }
+    }
+
+    @Test
+    void aResetIsNoEndOfAShortAnswer() throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+            client.send(Fixture.get("r1"));
+            Wire attempt = backend.accept();
+            attempt.read();
+            attempt.send(ENDLESS + "ma");
+            reset(attempt);
+            assertThat(client.read().status()).isEqualTo(502);
+            assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(Outcome.RESET);
+        }
+    }
+
+    /** This side closes an answer that says nothing more; the client must not take what it has for the whole. */
+    @Test
+    void theCloseOfASilentAnswerIsNoEndOfIt() throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), 1_024, 500_000, backend);
+                var client = proxy.client()) {
+            client.send(Fixture.get("r1"));
+            Wire attempt = backend.accept();
+            attempt.read();
+            attempt.send(LONG);
+            assertThatThrownBy(client::readChunked).isInstanceOf(IOException.class);
+            assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(Outcome.RESET);
+        }
+    }
+
+    @Test
+    void theCancelOfAnAnswerIsNoEndOfIt() throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture((event, actions) -> {
+            if (event instanceof StreamStarted s) {
+                actions.accept(new Cancel(s.id(), s.attempt()));
+            } else if (event instanceof Arrival a) {
+                actions.accept(new Send(a.id(), "s0", 0));
+            }
+        }, backend); var client = proxy.client()) {
+            client.send(Fixture.get("r1"));
+            Wire attempt = backend.accept();
+            attempt.read();
+            attempt.send(LONG);
+            assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(Outcome.CANCELLED);
+            assertThatThrownBy(client::readChunked).isInstanceOf(IOException.class);
+        }
+    }
+
+    @Test
+    void aTimeOutIsNoEndOfAShortAnswer() throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0", 50_000), backend);
+                var client = proxy.client()) {
+            client.send(Fixture.get("r1"));
+            Wire attempt = backend.accept();
+            attempt.read();
+            attempt.send(ENDLESS + "ma");
+            assertThat(client.read().status()).isEqualTo(502);
+            assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(Outcome.TIMEOUT);
+        }
+    }
+
+    /** An answer comes, and the end of the connection with it, while another request waits to take the connection. */
+    @Test
+    void aConnectionThatEndsWithItsAnswerIsNotTakenForTheNext() throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture((event, actions) -> {
+            // The second is sent within the very read of the first's answer.
+            if (event instanceof Arrival a && a.id().equals("r1") || event instanceof AttemptEnded e && e.id().equals("r1")) {
+                actions.accept(new Send(event instanceof Arrival ? "r1" : "r2", "s0", 0));
+            }
+        }, backend); var one = proxy.client(); var two = proxy.client()) {
+            one.send(Fixture.get("r1"));
+            Wire first = backend.accept();
+            first.read();
+            proxy.next(Arrival.class);
+            two.send(Fixture.get("r2"));
+            proxy.next(Arrival.class);
+            first.send(ENDLESS + "one").endSending();
+            assertThat(one.read().body()).isEqualTo("one");
+            Wire second = backend.accept();
+            assertThat(second.read().header("X-Request-ID")).isEqualTo("r2");
+            second.send(Peer.ok("two"));
+            assertThat(two.read().body()).isEqualTo("two");
+        }
+    }
+
+    /** Each may have run, is told as failed, and its connection is not used again. */
+    @ParameterizedTest
+    @ValueSource(strings = {"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nmade\r\n0\r\n\r\n",
+        "Content-Length: -4\r\n\r\nmade", "Content-Length: 4x\r\n\r\nmade", "Content-Length: 4, 5\r\n\r\nmade",
+        "Transfer-Encoding: chunked\r\n\r\n-4\r\nmade\r\n0\r\n\r\n", ": nameless\r\nContent-Length: 4\r\n\r\nmade"})
+    void aSpoiltAnswerIsAnError(String spoilt) throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+            client.send(Fixture.get("r1"));
+            Wire attempt = backend.accept();
+            attempt.read();
+            attempt.send("HTTP/1.1 200 OK\r\n" + spoilt);
+            assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(Outcome.ERROR);
+            assertThat(client.read().status()).isEqualTo(502);
+            assertThat(attempt.ended()).isTrue();
+        }
+    }
+
+    /** The first part of it is with the client by then. */
+    @Test
+    void aLongAnswerThatIsSpoiltOnTheWayIsBrokenForTheClient() throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+            client.send(Fixture.get("r1"));
+            Wire attempt = backend.accept();
+            attempt.read();
+            attempt.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n11170\r\n" + "x".repeat(70_000) + "\r\n");
+            proxy.next(StreamStarted.class);
+            attempt.send("zz\r\nmade\r\n0\r\n\r\n");
+            assertThatThrownBy(client::readChunked).isInstanceOf(IOException.class);
+            assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(Outcome.RESET);
+            assertThat(attempt.ended()).isTrue();
+        }
+    }
+}
