Look at a resting connection before it is taken, and end it when anything comes on it

Cause: what a backend sends on a resting connection was left with the decoder where it made no whole answer (half a line), or ignored (an interim answer), and would have begun the next attempt's answer. And a connection was taken without a look at what the loop had not read yet: a late second answer became that of the next request, and a request written behind the backend's end or reset counted as one that may have run. Nor did a loop that is late see that a connection had rested for too long.

Change: RestingConnections keeps them. One is taken only if it has rested no longer than the clock allows and a read of one byte finds nothing there, neither bytes nor an end (one system call for an attempt on a kept connection). Any byte that is read while no attempt is out closes the connection.

--- a/proxy/src/main/java/walkpost/proxy/BackendDecoder.java
+++ b/proxy/src/main/java/walkpost/proxy/BackendDecoder.java
@@ -6,17 +6,26 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AsciiString;
+import io.netty.util.ReferenceCountUtil;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 
 /**
  * Reads a backend's answers; only requests that an answer may have a body for are ever sent, so it need not know them.
  * It is stricter than Netty's in what makes an answer, and in what ends one.
  */
 final class BackendDecoder extends HttpResponseDecoder {
+    private final BooleanSupplier due;
     private boolean ended;
 
-    BackendDecoder() {
+    /**
+     * Makes one.
+     *
+     * @param due asked before bytes are read: whether any are due. Those that are not end the connection unread
+     */
+    BackendDecoder(BooleanSupplier due) {
         super(Headers.DECODING);
+        this.due = due;
     }
 
     /** Returns whether all that has come is decoded, and more may come. */
@@ -24,6 +33,16 @@
         return actualReadableBytes() == 0 && !ended;
     }
 
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object bytes) throws Exception {
+        if (due.getAsBoolean()) {
+            super.channelRead(ctx, bytes);
+        } else {
+            ReferenceCountUtil.release(bytes);
+            ctx.close();
+        }
+    }
+
     /** Notes that the backend has ended its sending, which is not said of a reset or of a close from this side. */
     @Override
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
--- a/proxy/src/main/java/walkpost/proxy/Backends.java
+++ b/proxy/src/main/java/walkpost/proxy/Backends.java
@@ -35,9 +35,7 @@
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.Promise;
 import java.net.SocketAddress;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -237,12 +235,9 @@
         }
     }
 
-    /**
-     * Netty's pool, which leaves the choice of the idle connection to its subclass: the one used last, so that the
-     * others grow old and are closed, and never one that was closed meanwhile.
-     */
+    /** Netty's pool, which leaves the keeping of the idle connections to its subclass. */
     private final class Pool extends SimpleChannelPool {
-        private final Deque<Channel> idle = new ArrayDeque<>();
+        private final RestingConnections idle = new RestingConnections(clock::now, sockets);
         private ChannelFuture connecting;
 
         Pool(Bootstrap bootstrap, ChannelPoolHandler handler) {
@@ -272,17 +267,12 @@
 
         @Override
         protected Channel pollChannel() {
-            Channel channel = idle.pollLast();
-            if (channel != null) {
-                sockets.backendIdle(channel, false);
-            }
-            return channel;
+            return idle.take(idleUs);
         }
 
         @Override
         protected boolean offerChannel(Channel channel) {
-            idle.addLast(channel);
-            sockets.backendIdle(channel, true);
+            idle.add(channel);
             return true;
         }
 
@@ -291,9 +281,7 @@
         }
 
         void closeIdle() {
-            for (Channel channel = pollChannel(); channel != null; channel = pollChannel()) {
-                channel.close();
-            }
+            idle.close();
         }
     }
 
@@ -466,7 +454,7 @@
     /** The reading side of a connection to a backend. */
     private final class Connection extends SimpleChannelInboundHandler<HttpObject> implements Passage.Source {
         private final Target target;
-        private final BackendDecoder decoder = new BackendDecoder();
+        private final BackendDecoder decoder = new BackendDecoder(this::due);
         private Channel channel;
         private Attempt attempt;
         /** The answer that is coming, and what of it has come; a long one is passed on instead. */
@@ -490,6 +478,10 @@
             channel = ctx.channel();
         }
 
+        private boolean due() {
+            return attempt != null;
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
             if (broken) {
--- a/proxy/src/test/java/walkpost/proxy/BackendDecoderTest.java
+++ b/proxy/src/test/java/walkpost/proxy/BackendDecoderTest.java
@@ -14,7 +14,7 @@
     /** A write that fails has Netty close the connection, as does this side: nothing says that the answer is whole. */
     @Test
     void aCloseThatWasNotReadEndsNoAnswer() {
-        var channel = new EmbeddedChannel(new BackendDecoder());
+        var channel = new EmbeddedChannel(new BackendDecoder(() -> true));
         channel.writeInbound(Unpooled.copiedBuffer("HTTP/1.1 200 OK\r\n\r\nhalf", StandardCharsets.US_ASCII));
         channel.close();
         for (HttpObject message = channel.readInbound(); message != null; message = channel.readInbound()) {
--- a/proxy/src/test/java/walkpost/proxy/CrossingsTest.java
+++ b/proxy/src/test/java/walkpost/proxy/CrossingsTest.java
@@ -10,8 +10,11 @@
 import walkpost.Balancer.Send;
 import walkpost.Balancer.StreamStarted;
 import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Two things that happen at once on a connection to a backend; each test forces them to meet. */
@@ -121,6 +124,65 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 200 OK\r\nConte", "HTTP/1.1 103 Early Hints\r\n\r\n", "\r\n"})
+    void whateverComesOnARestingConnectionEndsIt(String late) throws Exception {
+        // The idle timer is slower than the test's patience: it is not what ends the connection.
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), 1_024, 60_000_000, backend);
+                var client = proxy.client()) {
+            client.send(Fixture.get("r1"));
+            Wire attempt = backend.accept();
+            attempt.read();
+            attempt.send(Peer.ok("one"));
+            assertThat(client.read().body()).isEqualTo("one");
+            attempt.send(late);
+            assertThat(attempt.ended()).isTrue();
+        }
+    }
+
+    /** What the loop has not come to yet when it takes the connection: it is held up until that has been sent. */
+    @ParameterizedTest
+    @CsvSource({"second", "half", "end", "reset"})
+    void aRestingConnectionOnWhichSomethingWaitsIsNotTaken(String what) throws Exception {
+        var sent = new CountDownLatch(1);
+        try (var backend = new Peer(); var proxy = new Fixture((event, actions) -> {
+            if (event instanceof Arrival a && a.id().equals("r2")) {
+                await(sent);
+            }
+            Fixture.sendTo("s0").handle(event, actions);
+        }, backend); var client = proxy.client()) {
+            client.send(Fixture.get("r1"));
+            Wire first = backend.accept();
+            first.read();
+            first.send(Peer.ok("one"));
+            assertThat(client.read().body()).isEqualTo("one");
+            proxy.next(Arrival.class);
+            client.send(Fixture.get("r2"));
+            proxy.next(Arrival.class);
+            switch (what) {
+                case "second" -> first.send(Peer.ok("one"));
+                case "half" -> first.send("HTTP/1.1 200 OK\r\nContent-Le");
+                case "end" -> first.endSending();
+                default -> reset(first);
+            }
+            sent.countDown();
+            Wire second = backend.accept();
+            assertThat(second.read().header("X-Request-ID")).isEqualTo("r2");
+            second.send(Peer.ok("two"));
+            assertThat(client.read().body()).isEqualTo("two");
+        }
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            if (!latch.await(10, TimeUnit.SECONDS)) {
+                throw new AssertionError("nothing was sent");
+            }
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
     /** Each may have run, is told as failed, and its connection is not used again. */
     @ParameterizedTest
     @ValueSource(strings = {"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nmade\r\n0\r\n\r\n",
