Ask the connection what has left, and take no answer to a request that has not left whole

Cause, one: whether the last byte had left was noted by a listener. Netty puts listeners off where they nest eight deep; until then a request that had gone out whole was stopped as never sent at a drain, and could be repeated. Two: a server begins with a request once it has all of it, so a 200 or 500 that comes earlier, a late second answer on a kept connection say, is none to this request; it was served, or told as one that may have run.

Change: an attempt asks its write's promise and the connection's buffer; in doubt it may have run. What comes before the last byte has left ends the attempt as never run, unless it turns the request away; if the last byte has left before the answer's head was whole, as an error.

Measured: on the code before, whatHasLeftIsNotStoppedAsUnsent fails at depth 7 of 0 to 8, and anAnswerBeforeTheRequestIsWholeIsNoneToIt for three of four answers (the fourth, turned away, held).

--- a/proxy/src/main/java/walkpost/proxy/Backends.java
+++ b/proxy/src/main/java/walkpost/proxy/Backends.java
@@ -9,6 +9,8 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.pool.AbstractChannelPoolHandler;
@@ -231,7 +233,7 @@
          */
         List<Attempt> stopped() {
             pool.closeIdle();
-            return out.stream().filter(a -> !a.written && !a.sending).toList();
+            return out.stream().filter(a -> !a.mayHaveRun() && !a.sending).toList();
         }
     }
 
@@ -297,7 +299,8 @@
         private ChannelFuture connecting;
         private Channel channel;
         private boolean sending;
-        private boolean written;
+        /** What the last byte is written with; null before that. */
+        private ChannelPromise last;
         private boolean ended;
 
         private Attempt(Target target, Outgoing outgoing, long timeoutUs, Hearer hearer) {
@@ -318,7 +321,7 @@
 
         private void waitForAnswer() {
             // Before its last byte is written it has not run for certain; after that it may, even if nothing comes.
-            timer = loop.schedule(() -> abort(written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED), timeoutUs,
+            timer = loop.schedule(() -> abort(mayHaveRun() ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED), timeoutUs,
                     TimeUnit.MICROSECONDS);
         }
 
@@ -334,7 +337,7 @@
                     write();
                 } catch (RuntimeException e) {
                     // A request that can't be written down has gone nowhere; nobody else must suffer for it.
-                    abort(Outcome.NOT_SENT);
+                    abort(mayHaveRun() ? Outcome.ERROR : Outcome.NOT_SENT);
                 }
             }
         }
@@ -351,7 +354,25 @@
             if (!outgoing.method().equals(HttpMethod.GET) || request.content().isReadable()) {
                 HttpUtil.setContentLength(request, request.content().readableBytes());
             }
-            channel.writeAndFlush(request).addListener(this::written);
+            writeLast(request);
+        }
+
+        private void writeLast(Object message) {
+            last = channel.newPromise();
+            channel.writeAndFlush(message, last);
+            last.addListener(this::written);
+        }
+
+        /**
+         * Returns whether the last byte may have left, so that the request may have run. Netty may put off calling
+         * whoever waits to hear that, so it is asked what still waits to be written.
+         */
+        boolean mayHaveRun() {
+            if (last == null || last.isDone()) {
+                return last != null && last.isSuccess();
+            }
+            ChannelOutboundBuffer waiting = channel.unsafe().outboundBuffer();
+            return waiting == null || waiting.isEmpty();
         }
 
         private void copyHeaders(HttpRequest request) {
@@ -360,8 +381,7 @@
         }
 
         private void written(Future<?> done) {
-            written = done.isSuccess();
-            if (!written) {
+            if (!done.isSuccess()) {
                 abort(Outcome.CONNECT_FAILED);
             } else if (sending && !ended) {
                 sending = false;
@@ -394,7 +414,7 @@
 
         @Override
         public void end(HttpHeaders trailers) {
-            channel.writeAndFlush(Headers.last(trailers)).addListener(this::written);
+            writeLast(Headers.last(trailers));
         }
 
         @Override
@@ -462,6 +482,8 @@
         private ByteBuf body = Unpooled.EMPTY_BUFFER;
         private Passage passage;
         private HttpHeaders trailers;
+        /** Something came of it before the request had gone out whole. */
+        private boolean early;
         /** Between an interim answer and the next. */
         private boolean interim;
         private boolean sound;
@@ -479,6 +501,7 @@
         }
 
         private boolean due() {
+            early |= attempt != null && !attempt.mayHaveRun();
             return attempt != null;
         }
 
@@ -508,6 +531,12 @@
         private void head(HttpResponse response) {
             head = response;
             sound = readable(response);
+            if (attempt.mayHaveRun() ? early : outcome() != Outcome.FULL) {
+                // No server answers what it has not had whole, unless to turn it away: this is some other answer.
+                head = null;
+                attempt.abort(attempt.mayHaveRun() ? Outcome.ERROR : Outcome.CONNECT_FAILED);
+                return;
+            }
             if (!sound) {
                 done = true;
             } else if (HttpUtil.getContentLength(response, 0L) > MAX_BODY) {
@@ -530,6 +559,7 @@
         private void content(HttpContent content) {
             boolean last = content instanceof LastHttpContent;
             if (interim || head == null || done) {
+                early &= !interim;
                 interim &= !last;
                 return;
             }
@@ -568,7 +598,7 @@
             HttpHeaders headers = head.headers();
             ByteBuf whole = body;
             Passage passed = passage;
-            boolean reusable = trailers != null && a.written && HttpUtil.isKeepAlive(head) && target.open()
+            boolean reusable = trailers != null && a.mayHaveRun() && HttpUtil.isKeepAlive(head) && target.open()
                     && channel.isActive() && decoder.isClear();
             HttpHeaders last = trailers;
             forget();
@@ -599,6 +629,7 @@
             body = Unpooled.EMPTY_BUFFER;
             passage = null;
             trailers = null;
+            early = false;
             done = false;
         }
 
@@ -650,7 +681,7 @@
                 passed.breakOff();
             }
             if (a != null) {
-                a.end(a.written ? Outcome.RESET : Outcome.CONNECT_FAILED, null);
+                a.end(a.mayHaveRun() ? Outcome.RESET : Outcome.CONNECT_FAILED, null);
             }
             super.channelInactive(ctx);
         }
--- /dev/null
+++ b/proxy/src/test/java/walkpost/proxy/AttemptsTest.java
@@ -0,0 +1,106 @@
+package walkpost.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import walkpost.Balancer;
+import walkpost.Balancer.ListKind;
+import walkpost.Balancer.Outcome;
+import walkpost.Balancer.State;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Attempts on their loop, with no proxy around them. */
+class AttemptsTest {
+    private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+    private final Clock clock = new Clock();
+    private final BlockingQueue<Outcome> ends = new LinkedBlockingQueue<>();
+    private Peer peer;
+    private Backends backends;
+
+    /** Keeps the ends. */
+    private final class Heard implements Backends.Hearer {
+        @Override
+        public void sending() { }
+
+        @Override
+        public void sent() { }
+
+        @Override
+        public void streams(Backends.Stream stream) { }
+
+        @Override
+        public void ended(Outcome outcome, long latencyUs, Backends.Answer answer) {
+            ends.add(outcome);
+        }
+    }
+
+    @BeforeEach
+    void begin() throws Exception {
+        peer = new Peer();
+        backends = new Backends(clock, loop, NioSocketChannel.class, new Sockets(1_024), new Buffers(1 << 20), 15_000_000,
+                1_000_000);
+        loop.submit(() -> list(State.READY)).get();
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        loop.submit(() -> backends.release("s0")).get();
+        loop.shutdownGracefully();
+        peer.close();
+    }
+
+    private List<Backends.Attempt> list(State state) {
+        return backends.update(ListKind.FULL, List.of(new Backends.Listed(
+                new Balancer.Backend("s0", state, "m", "a", 1, 7, 1), new InetSocketAddress("127.0.0.1", peer.port()))));
+    }
+
+    private static Backends.Outgoing get(String id) {
+        return new Backends.Outgoing(HttpMethod.GET, "/api", new DefaultHttpHeaders().set("X-Request-ID", id),
+                Unpooled.EMPTY_BUFFER, null);
+    }
+
+    private void start(String id) {
+        backends.attempt("s0", get(id), 5_000_000, new Heard()).start();
+    }
+
+    /** Netty puts off calling those who wait for a write where such calls nest too deep. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 2, 3, 4, 5, 6, 7, 8})
+    void whatHasLeftIsNotStoppedAsUnsent(int depth) throws Exception {
+        loop.submit(() -> start("r1")).get();
+        Wire wire = peer.accept();
+        wire.read();
+        wire.send(Peer.ok("x"));
+        assertThat(Peer.next(ends)).isEqualTo(Outcome.OK);
+        var unsent = new ArrayList<Backends.Attempt>();
+        loop.submit(() -> nest(depth, () -> {
+            start("r2");
+            unsent.addAll(list(State.DRAINING));
+            unsent.forEach(a -> a.abort(Outcome.NOT_SENT));
+        })).get();
+        Wire.Message came = wire.read();
+        assertThat(came == null).isEqualTo(!unsent.isEmpty());
+    }
+
+    private void nest(int depth, Runnable inside) {
+        if (depth == 0) {
+            inside.run();
+        } else {
+            loop.newSucceededFuture(null).addListener(f -> nest(depth - 1, inside));
+        }
+    }
+}
--- a/proxy/src/test/java/walkpost/proxy/CrossingsTest.java
+++ b/proxy/src/test/java/walkpost/proxy/CrossingsTest.java
@@ -183,6 +183,23 @@
         }
     }
 
+    /** A server begins with a request once it has it whole: what comes before that is no answer to it, and it never ran. */
+    @ParameterizedTest
+    @CsvSource({"'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmade',CONNECT_FAILED",
+        "'HTTP/1.1 500 Error\r\nContent-Length: 4\r\n\r\nmade',CONNECT_FAILED",
+        "'HTTP/1.1 200 OK\r\nno colon here\r\n\r\n',CONNECT_FAILED",
+        "'HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n',FULL"})
+    void anAnswerBeforeTheRequestIsWholeIsNoneToIt(String early, Outcome outcome) throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+            client.send(Fixture.post("r1", "x".repeat(200_000)).substring(0, 150_000));
+            Wire attempt = backend.accept();
+            attempt.readHead();
+            attempt.send(early);
+            assertThat(proxy.next(AttemptEnded.class).outcome()).isEqualTo(outcome);
+            assertThat(client.read().status()).isEqualTo(502);
+        }
+    }
+
     /** Each may have run, is told as failed, and its connection is not used again. */
     @ParameterizedTest
     @ValueSource(strings = {"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nmade\r\n0\r\n\r\n",
