Let an attempt say until when its first byte may be written

Cause: a connection that comes up late is written to as long as the attempt has time, although the backend may have begun to be warmed, drained or avoided meanwhile; the module has no say in it.

Change: Backends.attempt takes the last moment for the first byte, on the proxy's clock. Later than that, or once the backend is open to nothing new, the attempt ends as never sent and the connection is kept unused for the next. The call without that moment stays, so nothing else changes yet.

Measured: sendsNothingAfterTheLastMomentAndKeepsTheConnection; with the moment ignored, the code before sends the request (the attempt ends by its time-out).

--- a/proxy/src/main/java/walkpost/proxy/Backends.java
+++ b/proxy/src/main/java/walkpost/proxy/Backends.java
@@ -192,12 +192,23 @@
 
     /** Returns an attempt that is yet to be started, or null where there is no such backend or no socket left. */
     Attempt attempt(String id, Outgoing outgoing, long timeoutUs, Hearer hearer) {
+        return attempt(id, outgoing, timeoutUs, Long.MAX_VALUE, hearer);
+    }
+
+    /**
+     * Returns an attempt that is yet to be started, or null where there is no such backend or no socket left.
+     *
+     * @param timeoutUs how long the attempt may take from its start
+     * @param sendByUs the last moment, on the proxy's clock, at which its first byte may be written: where a connection
+     *                 comes up later than that, the attempt ends as never sent
+     */
+    Attempt attempt(String id, Outgoing outgoing, long timeoutUs, long sendByUs, Hearer hearer) {
         Target target = targets.get(id);
         if (target == null || !target.open() || !target.pool.hasIdle() && !sockets.roomForBackend()
                 || outgoing.passage() != null && !outgoing.passage().fresh()) {
             return null;
         }
-        return new Attempt(target, outgoing, timeoutUs, hearer);
+        return new Attempt(target, outgoing, timeoutUs, sendByUs, hearer);
     }
 
     /** One backend. */
@@ -227,6 +238,15 @@
             return ready && !excluded.contains(id);
         }
 
+        /** Keeps a connection that is free for the next attempt, if there may be one. */
+        void keep(Channel channel) {
+            if (open()) {
+                pool.release(channel);
+            } else {
+                channel.close();
+            }
+        }
+
         /**
          * Closes what is idle; returns the attempts that have not been written whole and so never ran. One whose body is
          * on its way has begun before, and could not be sent elsewhere.
@@ -292,6 +312,7 @@
         private final Target target;
         private final Outgoing outgoing;
         private final long timeoutUs;
+        private final long sendByUs;
         private final Hearer hearer;
         private long startedAt;
         private long firstBytesAt;
@@ -303,10 +324,11 @@
         private ChannelPromise last;
         private boolean ended;
 
-        private Attempt(Target target, Outgoing outgoing, long timeoutUs, Hearer hearer) {
+        private Attempt(Target target, Outgoing outgoing, long timeoutUs, long sendByUs, Hearer hearer) {
             this.target = target;
             this.outgoing = outgoing;
             this.timeoutUs = timeoutUs;
+            this.sendByUs = sendByUs;
             this.hearer = hearer;
         }
 
@@ -329,8 +351,10 @@
             connecting = null;
             if (!f.isSuccess()) {
                 end(Outcome.CONNECT_FAILED, null);
-            } else if (ended) {
-                f.getNow().close();
+            } else if (ended || !target.open() || clock.now() > sendByUs) {
+                // It has come too late for this attempt, but may serve another.
+                target.keep(f.getNow());
+                end(Outcome.NOT_SENT, null);
             } else {
                 channel = f.getNow();
                 try {
@@ -598,13 +622,13 @@
             HttpHeaders headers = head.headers();
             ByteBuf whole = body;
             Passage passed = passage;
-            boolean reusable = trailers != null && a.mayHaveRun() && HttpUtil.isKeepAlive(head) && target.open()
+            boolean reusable = trailers != null && a.mayHaveRun() && HttpUtil.isKeepAlive(head)
                     && channel.isActive() && decoder.isClear();
             HttpHeaders last = trailers;
             forget();
             // Back into the pool before the module hears: what it sends next may take this very connection.
             if (reusable) {
-                target.pool.release(channel);
+                target.keep(channel);
             } else {
                 channel.close();
             }
--- a/proxy/src/test/java/walkpost/proxy/AttemptsTest.java
+++ b/proxy/src/test/java/walkpost/proxy/AttemptsTest.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -73,22 +74,34 @@
                 Unpooled.EMPTY_BUFFER, null);
     }
 
-    private void start(String id) {
-        backends.attempt("s0", get(id), 5_000_000, new Heard()).start();
+    private void start(String id, long sendByUs) {
+        backends.attempt("s0", get(id), 5_000_000, sendByUs, new Heard()).start();
+    }
+
+    /** The connection comes up when its first byte may no longer be written. */
+    @Test
+    void sendsNothingAfterTheLastMomentAndKeepsTheConnection() throws Exception {
+        loop.submit(() -> start("r1", clock.now() - 1)).get();
+        assertThat(Peer.next(ends)).isEqualTo(Outcome.NOT_SENT);
+        Wire only = peer.accept();
+        loop.submit(() -> start("r2", clock.now() + 5_000_000)).get();
+        assertThat(only.read().header("X-Request-ID")).isEqualTo("r2");
+        only.send(Peer.ok("x"));
+        assertThat(Peer.next(ends)).isEqualTo(Outcome.OK);
     }
 
     /** Netty puts off calling those who wait for a write where such calls nest too deep. */
     @ParameterizedTest
     @ValueSource(ints = {0, 1, 2, 3, 4, 5, 6, 7, 8})
     void whatHasLeftIsNotStoppedAsUnsent(int depth) throws Exception {
-        loop.submit(() -> start("r1")).get();
+        loop.submit(() -> start("r1", Long.MAX_VALUE)).get();
         Wire wire = peer.accept();
         wire.read();
         wire.send(Peer.ok("x"));
         assertThat(Peer.next(ends)).isEqualTo(Outcome.OK);
         var unsent = new ArrayList<Backends.Attempt>();
         loop.submit(() -> nest(depth, () -> {
-            start("r2");
+            start("r2", Long.MAX_VALUE);
             unsent.addAll(list(State.DRAINING));
             unsent.forEach(a -> a.abort(Outcome.NOT_SENT));
         })).get();
