Close what rests once a backend is listed with a newer start

Cause: a machine that vanished and is back resets what was open to it; a request written to such a connection counts as one that may have run, and an unsafe one can't be sent again.

Change: a newer start in the list closes the resting connections to that backend.

Measured: on the code before, aNewStartEndsWhatRests fails (the connection stays open).

--- a/proxy/src/main/java/walkpost/proxy/Backends.java
+++ b/proxy/src/main/java/walkpost/proxy/Backends.java
@@ -152,6 +152,7 @@
                 target = new Target(l.backend().id(), l.address());
                 targets.put(l.backend().id(), target);
             }
+            target.startedAt(l.backend().startedAtUs());
             target.ready = l.backend().state() == Balancer.State.READY;
         }
         if (kind != Balancer.ListKind.DELTA) {
@@ -217,6 +218,7 @@
         private final SocketAddress address;
         private final Pool pool;
         private final Set<Attempt> out = new LinkedHashSet<>();
+        private long startedAtUs;
         private boolean ready;
 
         Target(String id, SocketAddress address) {
@@ -233,6 +235,14 @@
             });
         }
 
+        /** Takes the time of its last start: what was opened to the process before that leads nowhere. */
+        void startedAt(long us) {
+            if (us > startedAtUs) {
+                startedAtUs = us;
+                pool.closeIdle();
+            }
+        }
+
         /** Returns whether it may be sent anything new. */
         boolean open() {
             return ready && !excluded.contains(id);
--- a/proxy/src/test/java/walkpost/proxy/CrossingsTest.java
+++ b/proxy/src/test/java/walkpost/proxy/CrossingsTest.java
@@ -9,6 +9,7 @@
 import walkpost.Balancer.Outcome;
 import walkpost.Balancer.Send;
 import walkpost.Balancer.StreamStarted;
+import walkpost.Balancer.Watch;
 import java.io.IOException;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -232,4 +233,28 @@
             assertThat(attempt.ended()).isTrue();
         }
     }
+
+    /** Connections to the process before are dead, or will be reset under the request that takes them. */
+    @Test
+    void aNewStartEndsWhatRests() throws Exception {
+        var asked = new boolean[1];
+        try (var backend = new Peer(); var proxy = new Fixture((event, actions) -> {
+            if (!asked[0]) {
+                asked[0] = true;
+                actions.accept(new Watch(true));
+            }
+            Fixture.sendTo("s0").handle(event, actions);
+        }, 1_024, 60_000_000, backend); var client = proxy.client()) {
+            client.send(Fixture.get("r1"));
+            Wire attempt = backend.accept();
+            attempt.read();
+            attempt.send(Peer.ok("one"));
+            assertThat(client.read().body()).isEqualTo("one");
+            String again = Fixture.entry("s0", backend.address(), "ready").replace("\"started_ms\":7", "\"started_ms\":8");
+            Wire watch = proxy.discovery.accept();
+            watch.read();
+            watch.send(Peer.ok(Fixture.list(42, false, again)));
+            assertThat(attempt.ended()).isTrue();
+        }
+    }
 }
