Rather take a connection on which a late second answer would have come by now

Cause: HTTP/1.1 has nothing that tells a backend's second answer from the answer to the next request, once that has been written. The one used last, which is taken first, is the one it would come on.

Change: of the resting connections the last one used is taken that has rested for 20 ms; only if there is none, the last of all. Nothing waits for this, and no connection is opened for it.

Measured: ratherGivesOneThatHasRestedALittle fails on the code before, which gives the fresh one.

--- a/proxy/src/main/java/walkpost/proxy/RestingConnections.java
+++ b/proxy/src/main/java/walkpost/proxy/RestingConnections.java
@@ -12,11 +12,14 @@
 
 /**
  * The open connections to one backend that carry no attempt. The one used last is taken first, so that the others grow
- * old and are closed; and none is taken on which anything has come, or which has rested for too long.
+ * old and are closed, but rather one that has rested a little; and none is taken on which anything has come, or which has rested for too long.
  */
 final class RestingConnections {
     private record Resting(Channel channel, long sinceUs) { }
 
+    /** Within this a second answer, which nobody has asked for, may still be on its way. */
+    private static final long SETTLING_US = 20_000;
+
     private final LongSupplier clock;
     private final Sockets sockets;
     private final Deque<Resting> resting = new ArrayDeque<>();
@@ -49,16 +52,29 @@
      */
     Channel take(long mostUs) {
         while (!resting.isEmpty()) {
-            Resting last = resting.removeLast();
-            sockets.backendIdle(last.channel(), false);
-            if (clock.getAsLong() - last.sinceUs() <= mostUs && last.channel().isActive() && isQuiet(last.channel())) {
-                return last.channel();
+            Resting next = next();
+            sockets.backendIdle(next.channel(), false);
+            if (clock.getAsLong() - next.sinceUs() <= mostUs && next.channel().isActive() && isQuiet(next.channel())) {
+                return next.channel();
             }
-            last.channel().close();
+            next.channel().close();
         }
         return null;
     }
 
+    /** Takes the last of those that a late answer would have come to by now; if there is none, the last of all. */
+    private Resting next() {
+        long settled = clock.getAsLong() - SETTLING_US;
+        for (Iterator<Resting> each = resting.descendingIterator(); each.hasNext();) {
+            Resting one = each.next();
+            if (one.sinceUs() <= settled) {
+                each.remove();
+                return one;
+            }
+        }
+        return resting.removeLast();
+    }
+
     /**
      * Returns whether nothing waits to be read, be it bytes, the end or a reset: the loop may not have come to it yet.
      * What was sent before the request can't be the answer to it, and to a backend that has hung up nothing is sent.
--- a/proxy/src/test/java/walkpost/proxy/RestingConnectionsTest.java
+++ b/proxy/src/test/java/walkpost/proxy/RestingConnectionsTest.java
@@ -26,6 +26,17 @@
         assertThat(resting.take(10)).isNull();
     }
 
+    /** A second answer may come late: rather not to the next attempt. */
+    @Test
+    void ratherGivesOneThatHasRestedALittle() {
+        Channel settled = rests();
+        now += 19_000;
+        Channel fresh = rests();
+        now += 1_000;
+        assertThat(resting.take(100_000)).isSameAs(settled);
+        assertThat(resting.take(100_000)).isSameAs(fresh);
+    }
+
     /** The loop was held up: its idle timer is late, the clock is not. */
     @Test
     void givesNoneThatHasRestedForTooLong() {
