--- a/proxy/src/main/java/walkpost/proxy/Proxy.java
+++ b/proxy/src/main/java/walkpost/proxy/Proxy.java
@@ -183,7 +183,7 @@
     }
 
     /** What becomes of one attempt of a request. */
-    private final class Course implements Backends.Hearer {
+    private final class Course implements Backends.AttemptListener {
         private final Request r;
         private final int number;
         private final String backend;
--- a/proxy/src/test/java/walkpost/proxy/AttemptsTest.java
+++ b/proxy/src/test/java/walkpost/proxy/AttemptsTest.java
@@ -33,7 +33,7 @@
     private Backends backends;
 
     /** Keeps the ends. */
-    private final class Heard implements Backends.Hearer {
+    private final class Heard implements Backends.AttemptListener {
         @Override
         public void sending() { }
 
