Test that nothing goes out on a connection that comes up too late

Cause: no test held these crossings: a connection is up at the peer, and the loop has yet to hear of it, when its attempt is cancelled, or its backend drains, moves, goes or is taken out and given back.

Change: one test for the five; another that two backends at one address share no connection.

--- a/proxy/src/test/java/walkpost/proxy/AttemptsTest.java
+++ b/proxy/src/test/java/walkpost/proxy/AttemptsTest.java
@@ -65,8 +65,11 @@
     }
 
     private List<Backends.Attempt> list(State state) {
-        return backends.update(ListKind.FULL, List.of(new Backends.Listed(
-                new Balancer.Backend("s0", state, "m", "a", 1, 7, 1), new InetSocketAddress("127.0.0.1", peer.port()))));
+        return backends.update(ListKind.FULL, List.of(line("s0", state, peer.port())));
+    }
+
+    private static Backends.Listed line(String id, State state, int port) {
+        return new Backends.Listed(new Balancer.Backend(id, state, "m", "a", 1, 7, 1), new InetSocketAddress("127.0.0.1", port));
     }
 
     private static Backends.Outgoing get(String id) {
@@ -74,8 +77,14 @@
                 Unpooled.EMPTY_BUFFER, null);
     }
 
-    private void start(String id, long sendByUs) {
-        backends.attempt("s0", get(id), 5_000_000, sendByUs, new Heard()).start();
+    private Backends.Attempt start(String id, long sendByUs) {
+        return start("s0", id, sendByUs);
+    }
+
+    private Backends.Attempt start(String backend, String id, long sendByUs) {
+        Backends.Attempt attempt = backends.attempt(backend, get(id), 5_000_000, sendByUs, new Heard());
+        attempt.start();
+        return attempt;
     }
 
     /** The connection comes up when its first byte may no longer be written. */
@@ -109,6 +118,48 @@
         assertThat(came == null).isEqualTo(!unsent.isEmpty());
     }
 
+    /** The peer has the connection by then, and the loop has yet to hear that it is up. */
+    @ParameterizedTest
+    @ValueSource(strings = {"cancelled", "drained", "moved", "gone", "out and back"})
+    void nothingIsWrittenOnAConnectionThatComesUpTooLate(String meanwhile) throws Exception {
+        loop.submit(() -> {
+            Backends.Attempt attempt = start("r1", Long.MAX_VALUE);
+            // Netty connects in a task of its own, which goes before this one.
+            loop.execute(() -> stop(attempt, meanwhile));
+        }).get();
+        assertThat(Peer.next(ends)).isEqualTo(Outcome.NOT_SENT);
+        assertThat(peer.accept().ended()).isTrue();
+    }
+
+    private void stop(Backends.Attempt attempt, String how) {
+        List<Backends.Attempt> unsent = switch (how) {
+            case "cancelled" -> List.of(attempt);
+            case "drained" -> list(State.DRAINING);
+            case "moved" -> backends.update(ListKind.DELTA, List.of(line("s0", State.READY, 1)));
+            case "gone" -> backends.update(ListKind.FULL, List.of());
+            default -> backends.exclude("s0");
+        };
+        backends.include("s0");
+        unsent.forEach(a -> a.abort(Outcome.NOT_SENT));
+    }
+
+    @Test
+    void twoBackendsAtOneAddressShareNoConnection() throws Exception {
+        loop.submit(() -> backends.update(ListKind.DELTA, List.of(line("s1", State.READY, peer.port())))).get();
+        var wires = new ArrayList<Wire>();
+        for (String backend : List.of("s0", "s1")) {
+            loop.submit(() -> start(backend, "r1", Long.MAX_VALUE)).get();
+            wires.add(peer.accept());
+            wires.get(wires.size() - 1).read();
+            wires.get(wires.size() - 1).send(Peer.ok("x"));
+            assertThat(Peer.next(ends)).isEqualTo(Outcome.OK);
+        }
+        loop.submit(() -> backends.update(ListKind.DELTA, List.of(line("s0", State.DRAINING, peer.port())))).get();
+        assertThat(wires.get(0).ended()).isTrue();
+        loop.submit(() -> start("s1", "r2", Long.MAX_VALUE)).get();
+        assertThat(wires.get(1).read().header("X-Request-ID")).isEqualTo("r2");
+    }
+
     private void nest(int depth, Runnable inside) {
         if (depth == 0) {
             inside.run();
