Give the clients' connection, its exchanges and its intake rooms of their own

Cause: Frontend held five state machines in 827 lines; what ends a connection could not be seen apart from what is asked on it. Change: ClientConnection, Exchange, Intake and RequestDecoder are files of their own; no behaviour changes.

--- /dev/null
+++ b/proxy/src/main/java/walkpost/proxy/ClientConnection.java
@@ -0,0 +1,319 @@
+package walkpost.proxy;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DuplexChannel;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.concurrent.Future;
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.Queue;
+import java.util.concurrent.TimeUnit;
+
+/** One client's connection. */
+final class ClientConnection extends ChannelInboundHandlerAdapter {
+    private static final long IDLE_S = 60;
+    /** A peer whose request's head is not whole by then is owed an error or a close; the platform allows 3 s. */
+    private static final long HEAD_MS = 2_500;
+    /** A body has to bring so much in each such time: a tenth of what the platform's slowest client sends. */
+    private static final int LEAST_BYTES = 16 * 1024;
+    private static final long LINGER_MS = 1_000;
+    /** Requests read ahead on one connection; clients send one at a time, so more is not worth memory. */
+    private static final int PIPELINED = 4;
+
+    private final Frontend front;
+    private final Queue<Exchange> waiting = new ArrayDeque<>();
+    private Channel channel;
+    private Exchange exchange;
+    private Intake intake;
+    /** Whether bytes of a request have come that is not whole yet. */
+    private boolean receiving;
+    private boolean bodyPaused;
+    private int progress;
+    private long readAt;
+    private FullHttpResponse parting;
+    private Future<?> overdue;
+
+    ClientConnection(Frontend front) {
+        this.front = front;
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext ctx) {
+        channel = ctx.channel();
+        front.opened(this);
+        expectHead();
+        channel.pipeline().addLast(new IdleStateHandler(0, 0, IDLE_S, TimeUnit.SECONDS), new RequestDecoder(),
+                new HttpResponseEncoder(), new Requests());
+    }
+
+    /** A request's time counts from its last byte; the nearest to its sending that can be known is this read. */
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+        readAt = front.readAt();
+        if (!receiving) {
+            receiving = true;
+            expectHead();
+            front.sockets.clientIdle(channel, false);
+        }
+        super.channelRead(ctx, message);
+    }
+
+    /** Not a matter of silence: one byte now and then would keep an unfinished request, and its socket, for ever. */
+    private void expectHead() {
+        if (overdue == null) {
+            overdue = channel.eventLoop().schedule(this::unfinished, HEAD_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void expectProgress() {
+        stopExpecting();
+        progress = 0;
+        overdue = channel.eventLoop().schedule(this::stalled, HEAD_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void stopExpecting() {
+        if (overdue != null) {
+            overdue.cancel(false);
+            overdue = null;
+        }
+    }
+
+    private void unfinished() {
+        if (receiving) {
+            part(tooSlow());
+        } else {
+            channel.close();
+        }
+    }
+
+    /** A body that the proxy itself is not reading, or has not asked for yet, is not late. */
+    private void stalled() {
+        if (progress >= LEAST_BYTES || !channel.config().isAutoRead() || intake.announced()) {
+            expectProgress();
+        } else {
+            giveUpIntake();
+            part(tooSlow());
+        }
+    }
+
+    private FullHttpResponse tooSlow() {
+        return Frontend.plain(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not end in time");
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) throws Exception {
+        front.closed(this);
+        stopExpecting();
+        giveUpIntake();
+        waiting.forEach(Exchange::clientGone);
+        waiting.clear();
+        if (exchange != null) {
+            Exchange gone = exchange;
+            exchange = null;
+            gone.clientGone();
+        }
+        super.channelInactive(ctx);
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) throws Exception {
+        if (exchange != null) {
+            exchange.flow();
+        }
+        super.channelWritabilityChanged(ctx);
+    }
+
+    void received(HttpObject message) {
+        if (parting != null) {
+            return;
+        }
+        if (message.decoderResult().isFailure()) {
+            giveUpIntake();
+            part(Frontend.plain(HttpResponseStatus.BAD_REQUEST, "not a request that can be read"));
+            return;
+        }
+        if (message instanceof HttpRequest head) {
+            begins(head);
+        }
+        if (message instanceof HttpContent content && intake != null) {
+            intake.add(content);
+        }
+    }
+
+    private void begins(HttpRequest head) {
+        try {
+            Framing.check(head);
+            intake = new Intake(front, this, head);
+            expectProgress();
+            if (exchange == null) {
+                intake.invite();
+            }
+        } catch (Framing.Unacceptable e) {
+            part(Frontend.plain(e.status(), e.getMessage()));
+        }
+    }
+
+    /** The request that is coming will not be whole; if it is being passed on already, its client is as good as gone. */
+    private void giveUpIntake() {
+        if (intake == null) {
+            return;
+        }
+        Intake gone = intake;
+        intake = null;
+        stopExpecting();
+        if (gone.passed() == null) {
+            gone.release();
+        } else if (gone.passed() == exchange) {
+            exchange = null;
+            gone.passed().clientGone();
+        } else if (waiting.remove(gone.passed())) {
+            gone.passed().clientGone();
+        }
+    }
+
+    void whole() {
+        intake = null;
+        receiving = false;
+        stopExpecting();
+    }
+
+    void take(Exchange next) {
+        if (exchange == null) {
+            exchange = next;
+            next.begin();
+        } else {
+            waiting.add(next);
+            read();
+        }
+    }
+
+    private void read() {
+        channel.config().setAutoRead(!bodyPaused && waiting.size() < PIPELINED);
+    }
+
+    void pauseBody(boolean on) {
+        bodyPaused = on;
+        read();
+    }
+
+    /** The exchange is over; the next that was read ahead begins. */
+    void answered(boolean keepAlive) {
+        exchange = keepAlive ? waiting.poll() : null;
+        if (exchange != null) {
+            read();
+            exchange.begin();
+        } else if (parting != null) {
+            hangUp();
+        } else if (keepAlive && intake != null) {
+            intake.invite();
+        } else if (keepAlive && !receiving) {
+            // Not sooner: a new connection's first request may wait unread, and is taken all the same.
+            front.sockets.clientIdle(channel, true);
+        }
+    }
+
+    /** Returns whether nothing more is to be answered after the exchange that is under way. */
+    boolean last() {
+        return waiting.isEmpty() && parting == null;
+    }
+
+    void closeIfIdle() {
+        if (exchange == null && !receiving) {
+            channel.close();
+        }
+    }
+
+    /** Answers what can't be read as a request, after those that came before it; nothing is read beyond it. */
+    void part(FullHttpResponse answer) {
+        if (parting != null) {
+            answer.release();
+            return;
+        }
+        parting = answer;
+        if (exchange == null) {
+            hangUp();
+        }
+    }
+
+    /** The exchange is answered before its request has come whole: what comes on is nobody's. */
+    void partEarly(FullHttpResponse answer) {
+        exchange = null;
+        intake = null;
+        stopExpecting();
+        waiting.forEach(Exchange::clientGone);
+        waiting.clear();
+        part(answer);
+    }
+
+    /**
+     * Closing with bytes unread would reset the connection, and the client would lose the answer: so this side
+     * ends its sending, and the rest is read and dropped for a while.
+     */
+    private void hangUp() {
+        channel.config().setAutoRead(true);
+        HttpUtil.setKeepAlive(parting, false);
+        channel.writeAndFlush(parting).addListener(f -> {
+            ((DuplexChannel) channel).shutdownOutput();
+            channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+        });
+    }
+
+    Channel channel() {
+        return channel;
+    }
+
+    /** When the bytes that came last may have come, on the proxy's clock. */
+    long readAt() {
+        return readAt;
+    }
+
+    /** Returns whether it is this exchange's answer that is to come next. */
+    boolean answers(Exchange asked) {
+        return exchange == asked;
+    }
+
+    /** Returns whether the request that is coming is this one. */
+    boolean takesIn(Intake asked) {
+        return intake == asked;
+    }
+
+    void progressed(int bytes) {
+        progress += bytes;
+    }
+
+    /** What the decoder makes of the bytes, and what goes wrong. */
+    private final class Requests extends SimpleChannelInboundHandler<HttpObject> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
+            received(message);
+        }
+
+        @Override
+        public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
+            // One whose client has taken nothing of its answer for so long has no client.
+            if (event instanceof IdleStateEvent && (exchange == null || exchange.answering())) {
+                ctx.close();
+            }
+            super.userEventTriggered(ctx, event);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            if (!(cause instanceof IOException)) {
+                front.log.failure("connection_failed", cause);
+            }
+            ctx.close();
+        }
+    }
+}
