End every client's connection in one way: shut down, read and drop, then close

Cause: answers that said close, idle connections, silent peers and those given up for others were closed at once; over unread bytes that is a reset, and the answer just written goes with it. A request partly read in the same read as the one before counted as nothing, and was cut off by an answer that said close. Change: Closing (open, writing, lingering) serves them all: it flushes, ends this side's sending, and drops what is read for 1 s or until the peer's end. Whoever lingers counts in Sockets and is not chosen again; beyond 16 of them the longest is cut when a place is wanted. The decoder tells whether a request has begun; then no answer says close.

--- a/proxy/src/main/java/walkpost/proxy/ClientConnection.java
+++ b/proxy/src/main/java/walkpost/proxy/ClientConnection.java
@@ -4,7 +4,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
@@ -14,6 +13,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.util.ArrayDeque;
@@ -27,25 +27,27 @@
     private static final long HEAD_MS = 2_500;
     /** A body has to bring so much in each such time: a tenth of what the platform's slowest client sends. */
     private static final int LEAST_BYTES = 16 * 1024;
-    private static final long LINGER_MS = 1_000;
     /** Requests read ahead on one connection; clients send one at a time, so more is not worth memory. */
     private static final int PIPELINED = 4;
 
     private final Frontend front;
+    private final Closing closing;
     private final Queue<Exchange> waiting = new ArrayDeque<>();
+    private final RequestDecoder decoder = new RequestDecoder();
     private Channel channel;
     private Exchange exchange;
     private Intake intake;
-    /** Whether bytes of a request have come that is not whole yet. */
-    private boolean receiving;
+    /** Whether any request has come whole, or its body is long and has begun. */
+    private boolean taken;
     private boolean bodyPaused;
     private int progress;
     private long readAt;
     private FullHttpResponse parting;
     private Future<?> overdue;
 
-    ClientConnection(Frontend front) {
+    ClientConnection(Frontend front, Closing closing) {
         this.front = front;
+        this.closing = closing;
     }
 
     @Override
@@ -53,20 +55,51 @@
         channel = ctx.channel();
         front.opened(this);
         expectHead();
-        channel.pipeline().addLast(new IdleStateHandler(0, 0, IDLE_S, TimeUnit.SECONDS), new RequestDecoder(),
+        channel.pipeline().addLast(new IdleStateHandler(0, 0, IDLE_S, TimeUnit.SECONDS), decoder,
                 new HttpResponseEncoder(), new Requests());
     }
 
     /** A request's time counts from its last byte; the nearest to its sending that can be known is this read. */
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+        if (parting != null || closing.begun()) {
+            ReferenceCountUtil.release(message);
+            return;
+        }
         readAt = front.readAt();
-        if (!receiving) {
-            receiving = true;
+        if (!receiving()) {
             expectHead();
-            front.sockets.clientIdle(channel, false);
+            front.sockets.clientIdle(closing, false);
         }
         super.channelRead(ctx, message);
+        if (closing.begun()) {
+            stopExpecting();
+        } else if (receiving()) {
+            expectHead();
+        } else {
+            if (taken) {
+                stopExpecting();
+            }
+            rest();
+        }
+    }
+
+    /** Returns whether bytes of a request have come that is not whole yet. */
+    private boolean receiving() {
+        return intake != null || decoder.midway();
+    }
+
+    /** Where nothing is asked, the connection may be given up; and it ends if every answer is to be the last. */
+    private void rest() {
+        if (exchange != null || parting != null || receiving() || closing.begun()) {
+            return;
+        }
+        if (front.closing()) {
+            closing.begin();
+        } else if (taken) {
+            // Not sooner: a new connection's first request may wait unread, and is taken all the same.
+            front.sockets.clientIdle(closing, true);
+        }
     }
 
     /** Not a matter of silence: one byte now and then would keep an unfinished request, and its socket, for ever. */
@@ -90,10 +123,11 @@
     }
 
     private void unfinished() {
-        if (receiving) {
+        overdue = null;
+        if (receiving()) {
             part(tooSlow());
-        } else {
-            channel.close();
+        } else if (exchange == null) {
+            closing.begin();
         }
     }
 
@@ -135,7 +169,7 @@
     }
 
     void received(HttpObject message) {
-        if (parting != null) {
+        if (parting != null || closing.begun()) {
             return;
         }
         if (message.decoderResult().isFailure()) {
@@ -144,6 +178,7 @@
             return;
         }
         if (message instanceof HttpRequest head) {
+            decoder.headEnded();
             begins(head);
         }
         if (message instanceof HttpContent content && intake != null) {
@@ -184,11 +219,11 @@
 
     void whole() {
         intake = null;
-        receiving = false;
         stopExpecting();
     }
 
     void take(Exchange next) {
+        taken = true;
         if (exchange == null) {
             exchange = next;
             next.begin();
@@ -199,7 +234,7 @@
     }
 
     private void read() {
-        channel.config().setAutoRead(!bodyPaused && waiting.size() < PIPELINED);
+        channel.config().setAutoRead(!bodyPaused && waiting.size() < PIPELINED || parting != null || closing.begun());
     }
 
     void pauseBody(boolean on) {
@@ -213,34 +248,40 @@
         if (exchange != null) {
             read();
             exchange.begin();
+        } else if (!keepAlive) {
+            // Whatever the client has sent beyond its own last request, or beyond what it was told is the last.
+            giveUpIntake();
+            waiting.forEach(Exchange::clientGone);
+        waiting.clear();
+            closing.begin();
         } else if (parting != null) {
             hangUp();
-        } else if (keepAlive && intake != null) {
+        } else if (intake != null) {
             intake.invite();
-        } else if (keepAlive && !receiving) {
-            // Not sooner: a new connection's first request may wait unread, and is taken all the same.
-            front.sockets.clientIdle(channel, true);
+        } else {
+            rest();
         }
     }
 
     /** Returns whether nothing more is to be answered after the exchange that is under way. */
     boolean last() {
-        return waiting.isEmpty() && parting == null;
+        return waiting.isEmpty() && parting == null && !receiving();
     }
 
     void closeIfIdle() {
-        if (exchange == null && !receiving) {
-            channel.close();
+        if (exchange == null && parting == null && !receiving()) {
+            closing.begin();
         }
     }
 
     /** Answers what can't be read as a request, after those that came before it; nothing is read beyond it. */
     void part(FullHttpResponse answer) {
-        if (parting != null) {
+        if (parting != null || closing.begun()) {
             answer.release();
             return;
         }
         parting = answer;
+        channel.config().setAutoRead(true);
         if (exchange == null) {
             hangUp();
         }
@@ -256,17 +297,10 @@
         part(answer);
     }
 
-    /**
-     * Closing with bytes unread would reset the connection, and the client would lose the answer: so this side
-     * ends its sending, and the rest is read and dropped for a while.
-     */
     private void hangUp() {
-        channel.config().setAutoRead(true);
         HttpUtil.setKeepAlive(parting, false);
-        channel.writeAndFlush(parting).addListener(f -> {
-            ((DuplexChannel) channel).shutdownOutput();
-            channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
-        });
+        channel.write(parting);
+        closing.begin();
     }
 
     Channel channel() {
@@ -302,8 +336,10 @@
         @Override
         public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
             // One whose client has taken nothing of its answer for so long has no client.
-            if (event instanceof IdleStateEvent && (exchange == null || exchange.answering())) {
+            if (event instanceof IdleStateEvent && (exchange != null ? exchange.answering() : closing.begun())) {
                 ctx.close();
+            } else if (event instanceof IdleStateEvent && exchange == null) {
+                closing.begin();
             }
             super.userEventTriggered(ctx, event);
         }
--- a/proxy/src/main/java/walkpost/proxy/Exchange.java
+++ b/proxy/src/main/java/walkpost/proxy/Exchange.java
@@ -3,8 +3,6 @@
 import walkpost.Balancer;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -203,20 +201,14 @@
         if (head.method().equals(HttpMethod.HEAD)) {
             answer.content().clear();
         }
-        over(connection.channel().writeAndFlush(answer));
+        connection.channel().writeAndFlush(answer);
+        connection.answered(keepAlive);
     }
 
     private boolean staysOpen() {
         return HttpUtil.isKeepAlive(head) && !(front.closing() && connection.last());
     }
 
-    private void over(ChannelFuture written) {
-        if (!keepAlive) {
-            written.addListener(ChannelFutureListener.CLOSE);
-        }
-        connection.answered(keepAlive);
-    }
-
     @Override
     public void streams(Backends.Stream stream) {
         if (!connection.answers(this) || !whole) {
@@ -261,7 +253,8 @@
     @Override
     public void end(HttpHeaders trailers) {
         answer = null;
-        over(connection.channel().writeAndFlush(Headers.last(trailers)));
+        connection.channel().writeAndFlush(Headers.last(trailers));
+        connection.answered(keepAlive);
     }
 
     /** A reset, as an answer of unknown length would look whole to an old client if its connection simply ended. */
--- a/proxy/src/main/java/walkpost/proxy/Frontend.java
+++ b/proxy/src/main/java/walkpost/proxy/Frontend.java
@@ -120,10 +120,11 @@
     private final class Admission extends ChannelInitializer<Channel> {
         @Override
         protected void initChannel(Channel channel) {
-            sockets.clientOpened(channel);
+            var closing = new Closing(channel, sockets);
+            sockets.clientOpened(closing);
             channel.config().setRecvByteBufAllocator(Headers.readingLittle());
             channel.config().setWriteBufferWaterMark(Headers.WATER_MARK);
-            channel.pipeline().addLast(new ClientConnection(Frontend.this));
+            channel.pipeline().addLast(new ClientConnection(Frontend.this, closing));
         }
     }
 
--- a/proxy/src/main/java/walkpost/proxy/Sockets.java
+++ b/proxy/src/main/java/walkpost/proxy/Sockets.java
@@ -14,11 +14,15 @@
     private static final int SPARE = 96;
     /** Of half the descriptors a quarter: the process itself has 11 open, the operators take 16, discovery 2. */
     private static final int SHARED_SPARE = 48;
+    /** So many clients that linger may hold places beyond the count, out of the spare ones. */
+    private static final int MOST_LINGERING = 16;
 
     private final int most;
     private final int mostClients;
     private final Set<Channel> idleBackends = new LinkedHashSet<>();
-    private final Set<Channel> idleClients = new LinkedHashSet<>();
+    private final Set<Closing> idleClients = new LinkedHashSet<>();
+    /** Those that were given up already and still hold their descriptors, the longest first. */
+    private final Set<Closing> lingering = new LinkedHashSet<>();
     private int clients;
     private int backends;
     private Listener listener;
@@ -44,16 +48,17 @@
         listener = where;
     }
 
-    void clientOpened(Channel channel) {
+    void clientOpened(Closing client) {
         clients++;
-        channel.closeFuture().addListener(f -> {
+        client.channel().closeFuture().addListener(f -> {
             clients--;
-            idleClients.remove(channel);
+            idleClients.remove(client);
+            lingering.remove(client);
             if (!clientsFull()) {
                 accept(true);
             }
         });
-        if (clientsFull() && !(clients < mostClients && giveUp(idleBackends)) && !giveUp(idleClients)) {
+        if (clientsFull() && !(clients < mostClients && giveUpBackend()) && !giveUpClient()) {
             accept(false);
         }
     }
@@ -71,7 +76,7 @@
 
     /** Returns whether one more connection to a backend may be opened. */
     boolean roomForBackend() {
-        return clients + backends < most || giveUp(idleBackends) || giveUp(idleClients);
+        return clients + backends < most || giveUpBackend() || giveUpClient();
     }
 
     void backendOpened(Channel channel) {
@@ -83,31 +88,58 @@
     }
 
     void backendIdle(Channel channel, boolean idle) {
-        mark(idleBackends, channel, idle);
+        mark(idleBackends, channel, idle && channel.isOpen());
     }
 
     /** Whoever waits to be accepted may have the place of a connection that has fallen idle. */
-    void clientIdle(Channel channel, boolean idle) {
-        mark(idleClients, channel, idle);
+    void clientIdle(Closing client, boolean idle) {
+        mark(idleClients, client, idle && !client.begun() && client.channel().isOpen());
         if (idle) {
             accept(true);
         }
     }
 
-    private static void mark(Set<Channel> set, Channel channel, boolean idle) {
-        set.remove(channel);
-        if (idle && channel.isOpen()) {
-            set.add(channel);
+    /** It is closed as far as this side is concerned, and open until its client has seen that. */
+    void clientLingers(Closing client) {
+        lingering.add(client);
+    }
+
+    private static <T> void mark(Set<T> set, T connection, boolean in) {
+        set.remove(connection);
+        if (in) {
+            set.add(connection);
+        }
+    }
+
+    private boolean giveUpBackend() {
+        Channel longest = first(idleBackends);
+        if (longest != null) {
+            longest.close();
         }
+        return longest != null;
     }
 
-    private static boolean giveUp(Set<Channel> idle) {
-        if (idle.isEmpty()) {
+    /** Gives up an idle client, whose place is free a little later; where too many go on holding theirs, one of these. */
+    private boolean giveUpClient() {
+        boolean enough = lingering.size() >= MOST_LINGERING;
+        Closing longest = first(enough ? lingering : idleClients);
+        if (longest == null) {
             return false;
         }
-        Channel longest = idle.iterator().next();
-        idle.remove(longest);
-        longest.close();
+        if (enough) {
+            longest.cut();
+        } else {
+            longest.begin();
+        }
         return true;
     }
+
+    private static <T> T first(Set<T> set) {
+        if (set.isEmpty()) {
+            return null;
+        }
+        T first = set.iterator().next();
+        set.remove(first);
+        return first;
+    }
 }
--- /dev/null
+++ b/proxy/src/test/java/walkpost/proxy/ClosingTest.java
@@ -0,0 +1,53 @@
+package walkpost.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import walkpost.Balancer.Arrival;
+import java.net.Socket;
+import java.util.ArrayList;
+import org.junit.jupiter.api.Test;
+
+/** How connections end, and what may cross it. */
+class ClosingTest {
+    /** A close over unread bytes is a reset, and takes along what of the answer has not reached the client. */
+    @Test
+    void bytesThatCrossTheCloseCostNoAnswer() throws Exception {
+        String body = "0123456789".repeat(6_000);
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var socket = new Socket()) {
+            // So little that most of the answer waits on the proxy's side.
+            socket.setReceiveBufferSize(4_096);
+            socket.connect(proxy.address);
+            var client = new Wire(socket);
+            client.send(Fixture.get("r1").replace("X-Tenant-Id", "Connection: close\r\nX-Tenant-Id")
+                    + Fixture.get("r2").repeat(2_000));
+            Wire attempt = backend.accept();
+            attempt.read();
+            attempt.send(Peer.ok(body));
+            assertThat(client.read().body()).isEqualTo(body);
+            assertThat(client.rest()).isEmpty();
+            assertThat(proxy.events.stream().filter(Arrival.class::isInstance)).hasSize(1);
+        }
+    }
+
+    /** Whoever is given up for others may be sending just then: it sees an end, no reset, and none of it is served. */
+    @Test
+    void aRequestThatCrossesTheEndOfAnIdleConnectionIsNotServed() throws Exception {
+        var crowd = new ArrayList<Wire>();
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), 128, 15_000_000, backend)) {
+            backend.always(Peer.ok("x"));
+            for (int i = 0; i < 21; i++) {
+                crowd.add(proxy.client());
+                assertThat(crowd.get(i).send(Fixture.get("r" + i)).read().status()).isEqualTo(200);
+            }
+            Wire first = crowd.get(0);
+            assertThat(first.rest()).isEmpty();
+            first.send(Fixture.get("late")).send(Fixture.get("later"));
+            assertThat(crowd.get(20).send(Fixture.get("last")).read().status()).isEqualTo(200);
+            assertThat(proxy.events).noneMatch(e -> e instanceof Arrival a && a.id().startsWith("late"));
+        } finally {
+            for (Wire client : crowd) {
+                client.close();
+            }
+        }
+    }
+}
