Read on behind requests that wait, so that the end of a client that has gone is seen

Cause: with four requests read ahead a connection was no longer read, and a FIN or RST behind them was not seen: attempts could begin for a client long gone. One read could also take in hundreds of small requests, of which none was counted. Change: ReadAhead keeps up to 128 KiB a connection, each request at its bytes and 2 KiB more, counted in Buffers; reading goes on. More is a flood: what was taken is answered, then 429 and the end, and the rest is dropped before it is parsed.

--- a/proxy/src/main/java/walkpost/proxy/ClientConnection.java
+++ b/proxy/src/main/java/walkpost/proxy/ClientConnection.java
@@ -16,8 +16,6 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
-import java.util.ArrayDeque;
-import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 
 /** One client's connection. */
@@ -27,19 +25,16 @@
     private static final long HEAD_MS = 2_500;
     /** A body has to bring so much in each such time: a tenth of what the platform's slowest client sends. */
     private static final int LEAST_BYTES = 16 * 1024;
-    /** Requests read ahead on one connection; clients send one at a time, so more is not worth memory. */
-    private static final int PIPELINED = 4;
 
     private final Frontend front;
     private final Closing closing;
-    private final Queue<Exchange> waiting = new ArrayDeque<>();
+    private final ReadAhead waiting;
     private final RequestDecoder decoder = new RequestDecoder();
     private Channel channel;
     private Exchange exchange;
     private Intake intake;
     /** Whether any request has come whole, or its body is long and has begun. */
     private boolean taken;
-    private boolean bodyPaused;
     private int progress;
     private long readAt;
     private FullHttpResponse parting;
@@ -48,6 +43,7 @@
     ClientConnection(Frontend front, Closing closing) {
         this.front = front;
         this.closing = closing;
+        this.waiting = new ReadAhead(front.buffers);
     }
 
     @Override
@@ -150,8 +146,7 @@
         front.closed(this);
         stopExpecting();
         giveUpIntake();
-        waiting.forEach(Exchange::clientGone);
-        waiting.clear();
+        waiting.giveUp();
         if (exchange != null) {
             Exchange gone = exchange;
             exchange = null;
@@ -227,32 +222,28 @@
         if (exchange == null) {
             exchange = next;
             next.begin();
-        } else {
-            waiting.add(next);
-            read();
+        } else if (!waiting.offer(next)) {
+            intake = null;
+            stopExpecting();
+            next.clientGone();
+            part(Frontend.plain(HttpResponseStatus.TOO_MANY_REQUESTS, "too much at once"));
         }
     }
 
-    private void read() {
-        channel.config().setAutoRead(!bodyPaused && waiting.size() < PIPELINED || parting != null || closing.begun());
-    }
-
+    /** Whatever else waits, reading goes on: behind it the client's end may stand. */
     void pauseBody(boolean on) {
-        bodyPaused = on;
-        read();
+        channel.config().setAutoRead(!on || parting != null || closing.begun());
     }
 
     /** The exchange is over; the next that was read ahead begins. */
     void answered(boolean keepAlive) {
         exchange = keepAlive ? waiting.poll() : null;
         if (exchange != null) {
-            read();
             exchange.begin();
         } else if (!keepAlive) {
             // Whatever the client has sent beyond its own last request, or beyond what it was told is the last.
             giveUpIntake();
-            waiting.forEach(Exchange::clientGone);
-        waiting.clear();
+            waiting.giveUp();
             closing.begin();
         } else if (parting != null) {
             hangUp();
@@ -292,8 +283,7 @@
         exchange = null;
         intake = null;
         stopExpecting();
-        waiting.forEach(Exchange::clientGone);
-        waiting.clear();
+        waiting.giveUp();
         part(answer);
     }
 
--- a/proxy/src/main/java/walkpost/proxy/Exchange.java
+++ b/proxy/src/main/java/walkpost/proxy/Exchange.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.QueryStringDecoder;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -24,6 +25,8 @@
 final class Exchange implements Proxy.Reply, Passage.Sink {
     private static final Pattern TIMEOUT = Pattern.compile("(\\d{1,8})([mu])");
     private static final Pattern COST = Pattern.compile("\\d{1,9}");
+    /** What a request takes in memory, whatever stands in it. */
+    private static final int WEIGHT = 2 * 1024;
     /** An answer is on its way for a moment, and the proxy may be late by a few milliseconds. */
     private static final long ON_ITS_WAY_US = 8_000;
 
@@ -278,6 +281,15 @@
         }
     }
 
+    /** The bytes that it is counted as while it waits for its turn. */
+    int weight() {
+        int bytes = WEIGHT + head.uri().length() + body.readableBytes();
+        for (Map.Entry<String, String> header : head.headers()) {
+            bytes += header.getKey().length() + header.getValue().length();
+        }
+        return bytes;
+    }
+
     void clientGone() {
         if (answer != null) {
             answer.cancel();
--- a/proxy/src/test/java/walkpost/proxy/ClosingTest.java
+++ b/proxy/src/test/java/walkpost/proxy/ClosingTest.java
@@ -3,8 +3,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import walkpost.Balancer.Arrival;
+import walkpost.Balancer.ClientGone;
+import java.io.IOException;
 import java.net.Socket;
 import java.util.ArrayList;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
 /** How connections end, and what may cross it. */
@@ -50,4 +54,47 @@
             }
         }
     }
+
+    /** A client that has sent ahead and gone is seen to be gone, however much stands before its end. */
+    @Test
+    void theEndBehindRequestsThatWaitIsSeen() throws Exception {
+        try (var proxy = new Fixture((event, actions) -> { })) {
+            try (var client = proxy.client()) {
+                client.send(Fixture.get("r1").replace("1900m", "60000m") + Fixture.get("r2").repeat(20));
+                assertThat(proxy.next(Arrival.class).id()).isEqualTo("r1");
+            }
+            assertThat(proxy.next(ClientGone.class).id()).isEqualTo("r1");
+        }
+    }
+
+    /** More than any client has reason to send ahead: what was taken is answered, and the rest with an error. */
+    @Test
+    void aFloodIsAnsweredAsFarAsItWasTaken() throws Exception {
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), backend); var client = proxy.client()) {
+            String other = Fixture.get("r1").replace("/api", "/other");
+            String flood = Fixture.get("r0").replace("1900m", "60000m") + other.repeat(100_000);
+            // It takes more than the system does: it is being read.
+            CompletableFuture.runAsync(() -> send(client, flood)).get(10, TimeUnit.SECONDS);
+            Wire attempt = backend.accept();
+            attempt.read();
+            attempt.send(Peer.ok("x"));
+            assertThat(client.read().status()).isEqualTo(200);
+            int taken = 0;
+            Wire.Message answer = client.read();
+            for (; answer.status() == 404; answer = client.read()) {
+                taken++;
+            }
+            assertThat(answer.status()).isEqualTo(429);
+            assertThat(taken).isBetween(10, ReadAhead.MOST / other.length());
+            assertThat(client.rest()).isEmpty();
+        }
+    }
+
+    private static void send(Wire wire, String text) {
+        try {
+            wire.send(text);
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
 }
