Let clients that have said nothing for half a second make room for others

Cause: who had sent nothing since it came was in no list of idle ones; such peers held all places for 2.5 s, and accepting stopped. Change: after 500 ms of silence a new connection may be given up for a newcomer; the timer for its head does it in two steps.

--- a/proxy/src/main/java/walkpost/proxy/ClientConnection.java
+++ b/proxy/src/main/java/walkpost/proxy/ClientConnection.java
@@ -25,6 +25,8 @@
     private static final long HEAD_MS = 2_500;
     /** A body has to bring so much in each such time: a tenth of what the platform's slowest client sends. */
     private static final int LEAST_BYTES = 16 * 1024;
+    /** Whoever has sent nothing for so long since it came makes room for others, where there is none. */
+    private static final long SILENT_MS = 500;
 
     private final Frontend front;
     private final Closing closing;
@@ -101,7 +103,7 @@
     /** Not a matter of silence: one byte now and then would keep an unfinished request, and its socket, for ever. */
     private void expectHead() {
         if (overdue == null) {
-            overdue = channel.eventLoop().schedule(this::unfinished, HEAD_MS, TimeUnit.MILLISECONDS);
+            overdue = channel.eventLoop().schedule(this::silent, SILENT_MS, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -118,6 +120,13 @@
         }
     }
 
+    private void silent() {
+        if (!taken && !receiving()) {
+            front.sockets.clientIdle(closing, true);
+        }
+        overdue = channel.eventLoop().schedule(this::unfinished, HEAD_MS - SILENT_MS, TimeUnit.MILLISECONDS);
+    }
+
     private void unfinished() {
         overdue = null;
         if (receiving()) {
--- a/proxy/src/test/java/walkpost/proxy/ClosingTest.java
+++ b/proxy/src/test/java/walkpost/proxy/ClosingTest.java
@@ -55,6 +55,27 @@
         }
     }
 
+    /** Those who came and said nothing make room for who does, one for one, and the others stay. */
+    @Test
+    void aSilentCrowdMakesRoomForAClient() throws Exception {
+        var crowd = new ArrayList<Wire>();
+        try (var backend = new Peer(); var proxy = new Fixture(Fixture.sendTo("s0"), 128, 15_000_000, backend)) {
+            backend.always(Peer.ok("x"));
+            for (int i = 0; i < 20; i++) {
+                crowd.add(proxy.client());
+            }
+            try (var client = proxy.client()) {
+                assertThat(client.send(Fixture.get("r1")).read().status()).isEqualTo(200);
+                assertThat(crowd.get(19).send(Fixture.get("r2")).read().status()).isEqualTo(200);
+                assertThat(crowd.get(0).ended()).isTrue();
+            }
+        } finally {
+            for (Wire client : crowd) {
+                client.close();
+            }
+        }
+    }
+
     /** A client that has sent ahead and gone is seen to be gone, however much stands before its end. */
     @Test
     void theEndBehindRequestsThatWaitIsSeen() throws Exception {
