Answer all that connected before the end, however short the deadlines are

Cause: with short deadlines the last call came before the last new client (endMs - 400 ms under FRONT_LAG); closing the listener reset all that waited to be accepted; a request taken before the signal with more time than is left was never answered; a SIGTERM before listen() left a listener that nobody closed; and the end was counted from when the loop got to it. Result: on the old code four of ShutdownTest fail: idleClientsStayUntilNobodyNewComes, whatWasTakenBeforeIsAnsweredBeforeTheEnd, nobodyIsTakenInAfterTheEnd, whoeverWaitsToBeAcceptedIsServedBeforeTheEnd (a reset). A SIGHUP during the drain was right before.

--- a/proxy/src/main/java/walkpost/proxy/ClientConnection.java
+++ b/proxy/src/main/java/walkpost/proxy/ClientConnection.java
@@ -263,6 +263,13 @@
         }
     }
 
+    /** Answers all that has been taken, as there is no time left. */
+    void answerNow() {
+        if (exchange != null) {
+            exchange.answerNow();
+        }
+    }
+
     /** Returns whether nothing more is to be answered after the exchange that is under way. */
     boolean last() {
         return waiting.isEmpty() && parting == null && !receiving();
--- a/proxy/src/main/java/walkpost/proxy/Exchange.java
+++ b/proxy/src/main/java/walkpost/proxy/Exchange.java
@@ -281,6 +281,16 @@
         }
     }
 
+    /** There is no time left to wait for its answer: it fails now, unless it has not come whole or is being answered. */
+    void answerNow() {
+        if (whole && answer == null) {
+            failed();
+            if (id != null) {
+                front.proxy.clientGone(id);
+            }
+        }
+    }
+
     /** The bytes that it is counted as while it waits for its turn. */
     int weight() {
         int bytes = WEIGHT + head.uri().length() + body.readableBytes();
--- a/proxy/src/main/java/walkpost/proxy/Frontend.java
+++ b/proxy/src/main/java/walkpost/proxy/Frontend.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -45,6 +46,7 @@
     private final Set<ClientConnection> connections = new HashSet<>();
     private Listener listener;
     private boolean draining;
+    private boolean ended;
     private boolean closing;
     private long latestDeadline = Long.MAX_VALUE;
     private long beatAt;
@@ -75,8 +77,8 @@
         terms = Terms.of(settings);
     }
 
-    ChannelFuture listen(EventLoop loop, Class<? extends ServerChannel> transport, SocketAddress address) {
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(transport)
+    ChannelFuture listen(EventLoop loop, ChannelFactory<ServerChannel> transport, SocketAddress address) {
+        ChannelFuture bound = new ServerBootstrap().group(loop).channelFactory(transport)
                 // One at a time: each that is accepted counts before the next is.
                 .option(ChannelOption.RECVBUF_ALLOCATOR, new ServerChannelRecvByteBufAllocator())
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
@@ -181,11 +183,17 @@
     }
 
     void stopListening() {
+        ended = true;
         if (listener != null) {
             listener.close();
         }
     }
 
+    /** Returns whether no client is to be taken in any more. */
+    boolean ended() {
+        return ended;
+    }
+
     /** From now on each answer is its connection's last. */
     void closeAfterAnswers() {
         closing = true;
@@ -196,7 +204,12 @@
         List.copyOf(connections).forEach(ClientConnection::closeIfIdle);
     }
 
-    /** Returns whether any client is still connected: it waits for an answer, or the answer is still being written. */
+    /** Answers all that has been taken and has no answer yet: the process ends. */
+    void answerNow() {
+        List.copyOf(connections).forEach(ClientConnection::answerNow);
+    }
+
+    /** Returns whether any client is still connected: it waits for an answer, or its connection is just being ended. */
     boolean busy() {
         return !connections.isEmpty();
     }
--- a/proxy/src/main/java/walkpost/proxy/Serve.java
+++ b/proxy/src/main/java/walkpost/proxy/Serve.java
@@ -6,7 +6,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -25,7 +24,10 @@
     private static final long KILL_MS = 600;
     /** A longer deadline than this does not put the kill off. */
     private static final long MOST_DEADLINE_MS = 3_000;
-    /** So long before the end each answer becomes its connection's last; whoever asks then is still served. */
+    /**
+     * So long before the end each answer becomes its connection's last; whoever asks then is still served. Not before the
+     * last new client has come, however short the deadlines are.
+     */
     private static final long LAST_CALL_MS = 400;
     /** What is taken is answered so long before the end: the answer is to be written as well. */
     private static final long WRITING_MS = 100;
@@ -54,7 +56,7 @@
     private final Exclusions exclusions;
     /** Null where this proxy is in no fleet. */
     private volatile FleetSide fleet;
-    private boolean draining;
+    private volatile boolean draining;
     private final CountDownLatch drained = new CountDownLatch(1);
 
     Serve(Config config, Surroundings surroundings) {
@@ -171,7 +173,7 @@
         return surroundings.clients() != null;
     }
 
-    /** Begins to serve; returns the address. Over a socket that others serve as well it begins only once it is ready. */
+    /** Begins to serve; returns the address, or null if it is too late. Over a socket that others serve as well it begins only once it is ready. */
     InetSocketAddress listen() throws Config.BadConfig {
         if (shared()) {
             long latest = clock.now() + TimeUnit.MILLISECONDS.toMicros(READY_MS);
@@ -182,8 +184,12 @@
                 throw new Config.BadConfig("the inherited socket: " + e);
             }
         }
+        // Told to end before it could begin, it takes nobody in.
         InetSocketAddress address = bound("listen",
-                () -> frontend.listen(loop, NioServerSocketChannel.class, config.listen()));
+                () -> frontend.ended() ? null : frontend.listen(loop, ClientsSocket::new, config.listen()));
+        if (address == null) {
+            return null;
+        }
         log.info("listening", "proxy", config.name(), "port", address.getPort());
         return address;
     }
@@ -213,7 +219,13 @@
 
     private InetSocketAddress bound(String field, Callable<ChannelFuture> listen) throws Config.BadConfig {
         ChannelFuture bound = loop.submit(listen).syncUninterruptibly().getNow();
+        if (bound == null) {
+            return null;
+        }
         if (!bound.awaitUninterruptibly().isSuccess()) {
+            if (draining) {
+                return null;
+            }
             throw new Config.BadConfig("'" + field + "': " + bound.cause().getMessage());
         }
         return (InetSocketAddress) bound.channel().localAddress();
@@ -249,7 +261,7 @@
         loop.execute(() -> {
             draining = true;
             log.info("draining", "proxy", config.name());
-            frontend.drain(clock.now() + TimeUnit.MILLISECONDS.toMicros(endMs - WRITING_MS));
+            frontend.drain(endAt - TimeUnit.MILLISECONDS.toMicros(WRITING_MS));
             if (shared()) {
                 // Whoever is not accepted yet is the next process's, and so is whoever has had an answer.
                 frontend.stopListening();
@@ -265,7 +277,8 @@
         loop.schedule(() -> {
             frontend.closeAfterAnswers();
             frontend.closeIdle();
-        }, endMs - LAST_CALL_MS, TimeUnit.MILLISECONDS);
+        }, Math.max(endMs - LAST_CALL_MS, FRONT_LAG_MS), TimeUnit.MILLISECONDS);
+        loop.schedule(frontend::answerNow, endMs - WRITING_MS / 2, TimeUnit.MILLISECONDS);
         try {
             boolean all = drained.await(endMs - GOODBYE_MS, TimeUnit.MILLISECONDS);
             leave();
--- a/proxy/src/main/java/walkpost/proxy/Warmup.java
+++ b/proxy/src/main/java/walkpost/proxy/Warmup.java
@@ -167,7 +167,7 @@
         var proxy = new Proxy(clock, loop, new Policy(unlisted), backends);
         var frontend = new Frontend(clock, proxy, sockets, buffers, unlisted, () -> backends.ready() > 0);
         loop.submit(() -> proxy.members(Balancer.ListKind.FULL, listed)).syncUninterruptibly();
-        frontend.listen(loop, NioServerDomainSocketChannel.class, front).syncUninterruptibly();
+        frontend.listen(loop, NioServerDomainSocketChannel::new, front).syncUninterruptibly();
         for (int i = 0; i < clients; i++) {
             connect();
         }
