Let an exchange tell whether its client is still there

Cause: whoever begins an attempt could not ask whether anybody waits for it. Change: Proxy.Reply.clientThere(): the connection is active and this exchange is its current one. Result: not called yet; for the check just before each attempt.

--- a/proxy/src/main/java/walkpost/proxy/Exchange.java
+++ b/proxy/src/main/java/walkpost/proxy/Exchange.java
@@ -281,6 +281,11 @@
         }
     }
 
+    @Override
+    public boolean clientThere() {
+        return connection.answers(this) && connection.channel().isActive();
+    }
+
     /** There is no time left to wait for its answer: it fails now, unless it has not come whole or is being answered. */
     void answerNow() {
         if (whole && answer == null) {
--- a/proxy/src/main/java/walkpost/proxy/Proxy.java
+++ b/proxy/src/main/java/walkpost/proxy/Proxy.java
@@ -30,6 +30,9 @@
         void refused(long retryAfterUs);
 
         void failed();
+
+        /** Returns whether the client is there and still waits for this answer, as far as has been read. */
+        boolean clientThere();
     }
 
     /**
