Read nothing from a client that does not take its last answer

Cause: a connection that was ending was read from, so that one that sent on and on without taking its answer never counted as silent. Change: reading stops until the answer has gone out, then goes on to drop what comes. Further signals during a drain are tested as well: they changed nothing before either. Result: ClosingTest.nothingIsReadUntilTheLastAnswerIsTaken fails on the commit before and passes here.

--- a/proxy/src/main/java/walkpost/proxy/ClientConnection.java
+++ b/proxy/src/main/java/walkpost/proxy/ClientConnection.java
@@ -241,7 +241,9 @@
 
     /** Whatever else waits, reading goes on: behind it the client's end may stand. */
     void pauseBody(boolean on) {
-        channel.config().setAutoRead(!on || parting != null || closing.begun());
+        if (!closing.begun()) {
+            channel.config().setAutoRead(!on || parting != null);
+        }
     }
 
     /** The exchange is over; the next that was read ahead begins. */
--- a/proxy/src/main/java/walkpost/proxy/Closing.java
+++ b/proxy/src/main/java/walkpost/proxy/Closing.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.socket.DuplexChannel;
 import java.util.concurrent.TimeUnit;
 
@@ -48,9 +49,10 @@
         }
         state = State.WRITING;
         sockets.clientIdle(this, false);
-        // The rest is read, so that nothing is left unread.
-        channel.config().setAutoRead(true);
-        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(written -> linger());
+        ChannelFuture written = channel.writeAndFlush(Unpooled.EMPTY_BUFFER);
+        // Whoever does not take its answer is not read from either: it would never count as silent.
+        channel.config().setAutoRead(written.isDone());
+        written.addListener(done -> linger());
     }
 
     private void linger() {
@@ -58,6 +60,7 @@
             return;
         }
         state = State.LINGERING;
+        channel.config().setAutoRead(true);
         sockets.clientLingers(this);
         if (channel instanceof DuplexChannel duplex) {
             duplex.shutdownOutput();
--- a/proxy/src/test/java/walkpost/proxy/ClosingTest.java
+++ b/proxy/src/test/java/walkpost/proxy/ClosingTest.java
@@ -4,6 +4,10 @@
 
 import walkpost.Balancer.Arrival;
 import walkpost.Balancer.ClientGone;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.embedded.EmbeddedChannel;
 import java.io.IOException;
 import java.net.Socket;
 import java.util.ArrayList;
@@ -33,6 +37,34 @@
         }
     }
 
+    /** Bytes that come in the meantime would keep a client that takes nothing from counting as silent, for ever. */
+    @Test
+    void nothingIsReadUntilTheLastAnswerIsTaken() {
+        var writes = new ArrayList<ChannelPromise>();
+        var channel = new EmbeddedChannel(new ChannelOutboundHandlerAdapter() {
+            @Override
+            public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+                writes.add(promise);
+            }
+        });
+        channel.freezeTime();
+        var closing = new Closing(channel, new Sockets(256));
+        closing.begin();
+        closing.begin();
+        assertThat(writes).hasSize(1);
+        assertThat(channel.config().isAutoRead()).isFalse();
+        channel.advanceTimeBy(10, TimeUnit.SECONDS);
+        channel.runScheduledPendingTasks();
+        writes.get(0).setSuccess();
+        assertThat(channel.config().isAutoRead()).isTrue();
+        channel.advanceTimeBy(999, TimeUnit.MILLISECONDS);
+        channel.runScheduledPendingTasks();
+        assertThat(channel.isOpen()).isTrue();
+        channel.advanceTimeBy(1, TimeUnit.MILLISECONDS);
+        channel.runScheduledPendingTasks();
+        assertThat(channel.isOpen()).isFalse();
+    }
+
     /** Whoever is given up for others may be sending just then: it sees an end, no reset, and none of it is served. */
     @Test
     void aRequestThatCrossesTheEndOfAnIdleConnectionIsNotServed() throws Exception {
--- a/proxy/src/test/java/walkpost/proxy/ShutdownTest.java
+++ b/proxy/src/test/java/walkpost/proxy/ShutdownTest.java
@@ -106,6 +106,27 @@
         }
     }
 
+    /** Signals that come again or beside each other neither put the end off nor bring it forward. */
+    @Test
+    void furtherSignalsChangeNothingOfTheEnd(@TempDir Path dir) throws Exception {
+        try (var program = new Program(dir, config(100_000))) {
+            String listening = program.line("listening proxy");
+            int port = Integer.parseInt(listening.replaceAll(".*port=", ""));
+            try (var client = Wire.to(new InetSocketAddress(InetAddress.getLoopbackAddress(), port))) {
+                client.send(Fixture.get("r1").replace("1900m", "9000m"));
+                backend.accept().read();
+                program.signal("TERM");
+                program.line("draining");
+                program.signal("TERM");
+                program.signal("HUP");
+                assertThat(client.read().status()).isGreaterThanOrEqualTo(500);
+                assertThat(client.ended()).isTrue();
+                assertThat(program.linesUpTo("drained|ends_with_clients")).noneMatch(line -> line.contains("draining"));
+                assertThat(program.status()).isZero();
+            }
+        }
+    }
+
     /** The system resets whoever waits in the queue of a socket that is closed; they have connected all the same. */
     @Test
     void whoeverWaitsToBeAcceptedIsServedBeforeTheEnd() throws Exception {
