Tell each repeat of a keyed request until when it may be written

Cause: the module checks a key's window when it decides to send; a connection that comes up late (up to the connect time-out, longer where the loop is held up) wrote the repeat after the window had ended. Change: `Send` has `sendByUs`, the end of the window of the earliest attempt that may have run; nothing else has one. Result: `RulesTest.aKeyedRequestIsNotWrittenPastItsWindowEither`; it does not compile on the old code, which had no such limit.

--- a/proxy/src/main/java/walkpost/Balancer.java
+++ b/proxy/src/main/java/walkpost/Balancer.java
@@ -166,8 +166,16 @@
     /** Something the proxy is to do. */
     sealed interface Action permits Send, Refuse, Fail, Cancel, Release, SetTimer, Probe, Watch, Fetch, Log { }
 
-    /** Send an attempt; the attempts of a request are numbered from 0 in the order sent. */
-    record Send(String id, String backend, long timeoutUs) implements Action { }
+    /**
+     * Send an attempt; the attempts of a request are numbered from 0 in the order sent. None of it may be written later
+     * than {@code sendByUs} on the proxy's clock: a connection may come up late.
+     */
+    record Send(String id, String backend, long timeoutUs, long sendByUs) implements Action {
+        /** Makes one that may be written whenever its connection is there. */
+        public Send(String id, String backend, long timeoutUs) {
+            this(id, backend, timeoutUs, Long.MAX_VALUE);
+        }
+    }
 
     /** Final answer: not now, and a retry is harmless. 0: no hint when to come back. */
     record Refuse(String id, long retryAfterUs) implements Action { }
--- a/proxy/src/main/java/walkpost/Policy.java
+++ b/proxy/src/main/java/walkpost/Policy.java
@@ -635,9 +635,12 @@
         // A slow answer is worth waiting for, but not long past its aim: silence takes up the room of others.
         long cutUs = now < r.aimAt ? (long) (LATE * (r.aimAt - now)) : Long.MAX_VALUE;
         var a = new Attempt(r, s, now, Math.min(r.deadline - now, cutUs));
+        // A connection may take its time, and the window of a key does not wait for it.
+        long sendBy = r.type.effect() != Effect.KEYED ? Long.MAX_VALUE : r.attempts.stream().filter(this::mayHaveRun)
+                .mapToLong(before -> before.sentAt + r.type.windowUs()).min().orElse(Long.MAX_VALUE);
         r.attempts.add(a);
         works(a);
-        out.accept(new Send(r.id, s.id, a.timeoutUs));
+        out.accept(new Send(r.id, s.id, a.timeoutUs, sendBy));
     }
 
     // Attempt outcome
--- a/proxy/src/test/java/walkpost/RulesTest.java
+++ b/proxy/src/test/java/walkpost/RulesTest.java
@@ -175,6 +175,18 @@
             assertThat(p.sends(id)).isEqualTo(1);
         }
 
+        /** A connection may come up late: the attempt is told until when it may be written. */
+        @Test
+        void aKeyedRequestIsNotWrittenPastItsWindowEither() {
+            proxy.list(backend("a"), backend("b"));
+            String id = proxy.arrive(PAY);
+            assertThat(proxy.lastSend(id).sendByUs()).isEqualTo(Long.MAX_VALUE);
+            long end = proxy.now + PAY.windowUs();
+            proxy.now += 20 * MS;
+            proxy.end(id, Outcome.RESET, 20 * MS);
+            assertThat(proxy.lastSend(id).sendByUs()).isEqualTo(end);
+        }
+
         @Test
         void aKeyedRequestOfAZoneThatMayHaveRunIsFailedNotRefused() {
             proxy.list(backend("a"));
