Begin no attempt for a client that has gone, though its end was not read yet

Cause: where the loop was held up, events of one batch run in any order: a request, a failed attempt or a timer set a send off while its client's end still lay unread in the socket. So an attempt could begin long after the client had closed. Change: `LoopBeat` (out of `Frontend`) tells of a hold-up; attempts decided then wait a millisecond, which is behind a look at all sockets, and any attempt is begun only if its client is there. A request keeps its numbers of attempts meanwhile. Also passes `sendByUs` on to the connection. Result: `ProxyTest.beginsNoFirst...` and `beginsNoFurtherAttemptForAClientWhoseEndIsNotReadYet`, the hold-up forced by a clock of the test's; without the wait both fail.

--- a/proxy/src/main/java/walkpost/proxy/Clock.java
+++ b/proxy/src/main/java/walkpost/proxy/Clock.java
@@ -2,6 +2,7 @@
 
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
+import java.util.function.LongSupplier;
 
 /**
  * The proxy's one clock: Unix time in microseconds, read from the system once and carried on by the monotonic timer.
@@ -9,9 +10,20 @@
  */
 final class Clock {
     private final long unixUs = ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now());
-    private final long nanos = System.nanoTime();
+    private final LongSupplier timer;
+    private final long nanos;
+
+    Clock() {
+        this(System::nanoTime);
+    }
+
+    /** Makes one that is carried on by another timer, in nanoseconds, that never goes back. */
+    Clock(LongSupplier timer) {
+        this.timer = timer;
+        this.nanos = timer.getAsLong();
+    }
 
     long now() {
-        return unixUs + (System.nanoTime() - nanos) / 1_000;
+        return unixUs + (timer.getAsLong() - nanos) / 1_000;
     }
 }
--- a/proxy/src/main/java/walkpost/proxy/Frontend.java
+++ b/proxy/src/main/java/walkpost/proxy/Frontend.java
@@ -26,17 +26,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 
 /** The clients' side: takes requests in, turns bad ones away, and gives each good one exactly one answer. */
 final class Frontend {
-    /** How often the loop shows that it runs, and how late that may be before it counts as held up. */
-    private static final long BEAT_US = 10_000;
     private static final int BACKLOG = 1_024;
 
-    private final Clock clock;
     final Log log = new Log("frontend");
     final Proxy proxy;
     final Sockets sockets;
@@ -49,12 +45,8 @@
     private boolean ended;
     private boolean closing;
     private long latestDeadline = Long.MAX_VALUE;
-    private long beatAt;
-    private long heldUpFrom = Long.MAX_VALUE;
 
-    Frontend(Clock clock, Proxy proxy, Sockets sockets, Buffers buffers, Balancer.Settings settings,
-            BooleanSupplier ready) {
-        this.clock = clock;
+    Frontend(Proxy proxy, Sockets sockets, Buffers buffers, Balancer.Settings settings, BooleanSupplier ready) {
         this.proxy = proxy;
         this.sockets = sockets;
         this.buffers = buffers;
@@ -113,8 +105,7 @@
     }
 
     private void listenAt(EventLoop loop, Listener where) {
-        beatAt = clock.now();
-        loop.scheduleWithFixedDelay(this::beat, BEAT_US, BEAT_US, TimeUnit.MICROSECONDS);
+        proxy.beat().start(loop);
         listener = where;
         sockets.listener(where);
     }
@@ -130,23 +121,9 @@
         }
     }
 
-    private void beat() {
-        heldUpFrom = arrivedAt(Long.MAX_VALUE);
-        beatAt = clock.now();
-    }
-
-    /**
-     * When a byte that is read now may have come. Where the loop was held up, by a pause of the process or a long batch,
-     * the byte may have waited all the while, and a deadline counted from now would be too late. That shows in an
-     * overdue beat; as beats and reads take turns, it holds until the beat after it.
-     */
-    private long arrivedAt(long otherwise) {
-        return clock.now() - beatAt > 2 * BEAT_US ? beatAt + BEAT_US : otherwise;
-    }
-
     /** When the bytes that are read now came, as early as can be told. */
     long readAt() {
-        return Math.min(heldUpFrom, arrivedAt(clock.now()));
+        return proxy.beat().arrivedAt();
     }
 
     Terms terms() {
--- a/proxy/src/main/java/walkpost/proxy/Proxy.java
+++ b/proxy/src/main/java/walkpost/proxy/Proxy.java
@@ -53,6 +53,8 @@
         private long deadlineUs;
         private boolean whole;
         private int out;
+        /** Attempts that the module has asked for and that are not begun yet. */
+        private int waiting;
         private boolean over;
         private Future<?> safety;
 
@@ -72,10 +74,13 @@
 
     /** How long after its deadline a request is answered by the proxy, if the module has not: the module goes first. */
     private static final long SAFETY_US = 2_000;
+    /** After a hold-up an attempt waits so long: whatever is due later than now comes after a look at the sockets. */
+    private static final long LOOK_AGAIN_US = 1_000;
 
     private final Clock clock;
     private final EventLoop loop;
     private final Log log = new Log("proxy");
+    private final LoopBeat beat;
     private final Balancer module;
     private final Backends backends;
     private final Map<String, Request> requests = new HashMap<>();
@@ -87,6 +92,7 @@
     Proxy(Clock clock, EventLoop loop, Balancer module, Backends backends) {
         this.clock = clock;
         this.loop = loop;
+        this.beat = new LoopBeat(clock);
         this.module = module;
         this.backends = backends;
     }
@@ -95,6 +101,11 @@
         discovery = calls;
     }
 
+    /** Returns what tells whether the loop was held up; whoever lets clients in starts it. */
+    LoopBeat beat() {
+        return beat;
+    }
+
     /** Returns the number of requests that still want an answer or have attempts out. */
     int open() {
         return requests.size();
@@ -250,7 +261,7 @@
     }
 
     private void forget(Request r) {
-        if (r.over && r.out == 0) {
+        if (r.over && r.out + r.waiting == 0) {
             requests.remove(r.incoming.id(), r);
         }
     }
@@ -336,25 +347,48 @@
         }
     }
 
+    /**
+     * Where the loop was held up, the client's end may lie unread: the attempt waits until it has been looked for. Nothing
+     * is begun for a client that has gone.
+     */
     private void send(Balancer.Send send) {
         Request r = requests.get(send.id());
         if (r == null) {
             return;
         }
         int number = r.attempts.size();
-        long left = r.leftUs(clock.now());
-        long timeoutUs = send.timeoutUs() == 0 ? left : Math.min(send.timeoutUs(), left);
-        Backends.Attempt attempt = null;
-        if (!r.over && number < r.incoming.limits().maxAttempts() && timeoutUs > 0 && (r.out == 0 || r.incoming.limits().secondCopies())) {
-            attempt = backends.attempt(send.backend(), r.incoming.outgoing(), timeoutUs,
-                    new Course(r, number, send.backend()));
+        r.attempts.add(null);
+        r.waiting++;
+        if (beat.heldUp()) {
+            loop.schedule(() -> begin(r, number, send), LOOK_AGAIN_US, TimeUnit.MICROSECONDS);
+        } else {
+            begin(r, number, send);
         }
-        r.attempts.add(attempt);
+    }
+
+    private void begin(Request r, int number, Balancer.Send send) {
+        if (!r.over && !r.reply.clientThere()) {
+            clientGone(send.id());
+        }
+        r.waiting--;
+        Backends.Attempt attempt = r.over ? null : attempt(r, number, send);
+        r.attempts.set(number, attempt);
         if (attempt == null) {
             deliver(new Balancer.AttemptEnded(send.id(), number, send.backend(), Outcome.NOT_SENT, 0, r.over));
+            forget(r);
         } else {
             r.out++;
             attempt.start();
         }
     }
+
+    /** Returns an attempt that may be started, or null where this one may not. */
+    private Backends.Attempt attempt(Request r, int number, Balancer.Send send) {
+        long left = r.leftUs(clock.now());
+        long timeoutUs = send.timeoutUs() == 0 ? left : Math.min(send.timeoutUs(), left);
+        Balancer.Limits limits = r.incoming.limits();
+        return number >= limits.maxAttempts() || timeoutUs <= 0 || r.out > 0 && !limits.secondCopies() ? null
+                : backends.attempt(send.backend(), r.incoming.outgoing(), timeoutUs, send.sendByUs(),
+                        new Course(r, number, send.backend()));
+    }
 }
--- a/proxy/src/main/java/walkpost/proxy/Serve.java
+++ b/proxy/src/main/java/walkpost/proxy/Serve.java
@@ -46,7 +46,7 @@
     private volatile Config config;
     private final Surroundings surroundings;
     private final Log log = new Log("serve");
-    private final Clock clock = new Clock();
+    private final Clock clock;
     private final EventLoop loop;
     private final Proxy proxy;
     private final Discovery discovery;
@@ -64,7 +64,12 @@
     }
 
     Serve(Config config, Surroundings surroundings, Balancer module) {
+        this(config, surroundings, new Clock(), module);
+    }
+
+    Serve(Config config, Surroundings surroundings, Clock clock, Balancer module) {
         this.config = config;
+        this.clock = clock;
         this.surroundings = surroundings;
         if (shared()) {
             Log.keepErrorStream();
@@ -79,7 +84,7 @@
         proxy = new Proxy(clock, loop, module, backends);
         discovery = new Discovery(loop, proxy, config.discovery(), settings);
         proxy.discovery(discovery);
-        frontend = new Frontend(clock, proxy, sockets, buffers, settings, this::available);
+        frontend = new Frontend(proxy, sockets, buffers, settings, this::available);
         takenOut = new TakenOut(proxy);
         exclusions = new Exclusions(loop, takenOut, surroundings.temp().resolve(EXCLUDED), "operators");
     }
--- a/proxy/src/main/java/walkpost/proxy/Warmup.java
+++ b/proxy/src/main/java/walkpost/proxy/Warmup.java
@@ -165,7 +165,7 @@
         var backends = new Backends(clock, loop, NioDomainSocketChannel.class, sockets, buffers,
                 TimeUnit.MILLISECONDS.toMicros(MOST_MS), TimeUnit.MILLISECONDS.toMicros(MOST_MS));
         var proxy = new Proxy(clock, loop, new Policy(unlisted), backends);
-        var frontend = new Frontend(clock, proxy, sockets, buffers, unlisted, () -> backends.ready() > 0);
+        var frontend = new Frontend(proxy, sockets, buffers, unlisted, () -> backends.ready() > 0);
         loop.submit(() -> proxy.members(Balancer.ListKind.FULL, listed)).syncUninterruptibly();
         frontend.listen(loop, NioServerDomainSocketChannel::new, front).syncUninterruptibly();
         for (int i = 0; i < clients; i++) {
--- a/proxy/src/test/java/walkpost/proxy/Fixture.java
+++ b/proxy/src/test/java/walkpost/proxy/Fixture.java
@@ -11,8 +11,10 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.Function;
 
@@ -39,6 +41,7 @@
 
     final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
     final Peer discovery = new Peer();
+    private final AtomicLong skippedNs = new AtomicLong();
     private final Serve serve;
     final InetSocketAddress address;
     private final InetSocketAddress operator;
@@ -93,7 +96,7 @@
         String json = CONFIG.formatted(discovery.address(), sockets, servers, idleUs);
         Config config = Config.parse(Config.JSON.readTree(json));
         Balancer module = factory.apply(config.settings());
-        serve = new Serve(config, surroundings, (now, event, actions) -> {
+        serve = new Serve(config, surroundings, new Clock(() -> System.nanoTime() + skippedNs.get()), (now, event, actions) -> {
             events.add(event);
             module.handle(now, event, actions);
         });
@@ -167,6 +170,11 @@
         }
     }
 
+    /** On the proxy's clock so much time has passed at once: called on its loop, that was held up. */
+    void skip(Duration time) {
+        skippedNs.addAndGet(time.toNanos());
+    }
+
     void reconfigure(Path file) {
         serve.reconfigure(file);
     }
--- a/proxy/src/test/java/walkpost/proxy/ProxyTest.java
+++ b/proxy/src/test/java/walkpost/proxy/ProxyTest.java
@@ -6,10 +6,16 @@
 import walkpost.Balancer.AttemptEnded;
 import walkpost.Balancer.Cancel;
 import walkpost.Balancer.ClientGone;
+import walkpost.Balancer.Event;
 import walkpost.Balancer.Outcome;
 import walkpost.Balancer.Send;
 import walkpost.Balancer.SetTimer;
 import walkpost.Balancer.TimerFired;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
 import org.junit.jupiter.api.Test;
 
 /** What the proxy does round the module, whatever the module does. */
@@ -98,4 +104,53 @@
             assertThat(proxy.next(TimerFired.class).token()).isEqualTo("due");
         }
     }
+
+    /** Rule on clients that have gone: the loop was held up when it was to send, and the client's end lies unread. */
+    @Test
+    void beginsNoFirstAttemptForAClientWhoseEndIsNotReadYet() throws Exception {
+        leavesDuring(event -> event instanceof Arrival, 0);
+    }
+
+    @Test
+    void beginsNoFurtherAttemptForAClientWhoseEndIsNotReadYet() throws Exception {
+        leavesDuring(event -> event instanceof AttemptEnded e && e.attempt() == 0, 1);
+    }
+
+    /** The client leaves while the module is at an event, for longer than the loop may be; the event has it send. */
+    private static void leavesDuring(Predicate<Event> moment, int attempts) throws Exception {
+        var held = new CompletableFuture<Fixture>();
+        var leaving = new CompletableFuture<Wire>();
+        try (var backend = new Peer(); var proxy = new Fixture((event, actions) -> {
+            if (moment.test(event)) {
+                close(leaving.join());
+                held.join().skip(Duration.ofMillis(100));
+            }
+            if (event instanceof Arrival a) {
+                actions.accept(new Send(a.id(), "s0", 0));
+            } else if (event instanceof AttemptEnded e && !e.last()) {
+                actions.accept(new Send(e.id(), "s0", 0));
+            }
+        }, backend); var client = proxy.client()) {
+            held.complete(proxy);
+            leaving.complete(client);
+            client.send(Fixture.get("gone"));
+            for (int i = 0; i < attempts; i++) {
+                try (Wire attempt = backend.accept()) {
+                    assertThat(attempt.read().header("X-Request-ID")).isEqualTo("gone");
+                }
+            }
+            assertThat(proxy.next(ClientGone.class).id()).isEqualTo("gone");
+            AttemptEnded end = proxy.next(AttemptEnded.class);
+            assertThat(end.outcome()).isEqualTo(Outcome.NOT_SENT);
+            assertThat(end.last()).isTrue();
+        }
+    }
+
+    private static void close(Wire wire) {
+        try {
+            wire.close();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
 }
