Replace a call for the list that is turned away beside a silent one, and double fewer

Cause: the second call beside a silent one came 0.5 s after the first, so all proxies doubled the load of a service that answers in turn; the last was given up 0.1 s before its turn of 2 s was over; one turned away beside a silent call was not made again before that. Ruled out: an outage (others were answered meanwhile), silence twice (n1's later calls were answered). Change: the second comes 0.65 s later, the last has its 2 s, and a call that fails beside an overdue one is made again at once. Result: `ListTermsTest`, TURNED_AWAY_BESIDE, fails without the last of these.

--- a/proxy/src/main/java/walkpost/proxy/Discovery.java
+++ b/proxy/src/main/java/walkpost/proxy/Discovery.java
@@ -220,6 +220,8 @@
         private final List<Runnable> ends = new ArrayList<>(1);
         private final List<Future<?>> timers = new ArrayList<>(1);
         private int open;
+        /** Whether the first call has said nothing for so long that another was made. */
+        private boolean beside;
         private boolean ended;
 
         LongPoll(boolean watching, long waitMs) {
@@ -227,6 +229,7 @@
             patience = clock.patience(waitMs);
             patience.againMs().forEach(at -> later(at, () -> {
                 log.warn("asked_again", "after_ms", at, "waiting_ms", waitMs);
+                beside = true;
                 call(0);
             }));
             // Guards against a discovery that is cut off and says nothing, or whose answer never ends: TCP alone would never tell.
@@ -254,11 +257,13 @@
                     }
                 }
 
-                /** All is lost only if no other call is open. */
+                /** All is lost only if no other call is open; but one that is overdue is likely silent, and no help. */
                 @Override
                 public void failed(String trouble) {
                     if (--open == 0) {
                         fail(trouble);
+                    } else if (beside) {
+                        later(clock.replaceMs(random.nextDouble()), () -> call(0));
                     }
                 }
             }));
--- a/proxy/src/main/java/walkpost/proxy/ListClock.java
+++ b/proxy/src/main/java/walkpost/proxy/ListClock.java
@@ -21,13 +21,13 @@
  * a connection that never came up                             1.0        2.4             -       1.5   4.9
  * an answer broken off, or 503 after 2 s in turn              2.0        2.4             -       1.5   5.9
  * the last of three calls, the others silent                  2.0        2.4             -       1.5   5.9
- * the same, of a call that waited                             1.9        2.4             -       1.5   5.8
+ * the same, of a call that waited                             2.05       2.4             -       1.5   5.95
  * back-off, and then a call that says nothing                   -        2.4           2.0       1.5   5.9
  * silence, or an answer without end                             -          -           2.0       1.5   3.5
  * the same twice running                                        -          -           4.0       1.5   5.5
  * the same of a call that waits, 3.5 s                          -          -           4.1       1.5   5.6
  * </pre>
- * What the last row has twice running is late by 0.1 s where an answer takes all of 1.5 s: sends may go on for 0.35 s.
+ * What the last row has twice running is late by 0.25 s where an answer takes all of 1.5 s: sends may go on for 0.35 s.
  */
 final class ListClock {
     /** What a call is worth waiting for. {@code againMs}: when to ask again beside it, counted from its beginning. */
@@ -44,8 +44,12 @@
     private static final long MOST_WAIT_MS = 3_500;
     /** An answer is due when the wait is over. A service that is only slow is not to be asked twice; there are 2 s at least. */
     private static final long LATE_MS = 600;
-    private static final long LATE_AGAIN_MS = 1_100;
-    private static final long GIVE_UP_MS = 3_000;
+    /** Two calls of each proxy make a slow service slower: the second only where the first is not answered for some time. */
+    private static final long LATE_AGAIN_MS = 1_250;
+    /** A call that waits its turn is answered within 2 s, or turned away: the last is not given up just before. */
+    private static final long GIVE_UP_MS = 3_300;
+    /** A call beside a silent one that fails is made again so soon, and up to twice that, not in step with the other proxies. */
+    private static final long REPLACE_MS = 100;
     /**
      * Where all proxies ask one service it takes their calls in turn, as after a mass start, and ends those that have waited too
      * long itself. A call that needs no wait is silent only past that, and what it misses counts 6 s after its beginning.
@@ -89,6 +93,15 @@
                 : new Patience(wait, List.of(wait + LATE_MS, wait + LATE_AGAIN_MS), wait + GIVE_UP_MS);
     }
 
+    /**
+     * Returns after how long a call that has failed beside a silent one is made again: what the silent one misses counts soon.
+     *
+     * @param draw from 0 to 1, this proxy's own
+     */
+    long replaceMs(double draw) {
+        return (long) (REPLACE_MS * (1 + draw));
+    }
+
     /** Returns how long the opening of a connection is waited for. */
     int connectMs() {
         return pushed ? AGENT_CONNECT_MS : SERVICE_CONNECT_MS;
--- a/proxy/src/test/java/walkpost/proxy/ListTermsTest.java
+++ b/proxy/src/test/java/walkpost/proxy/ListTermsTest.java
@@ -23,10 +23,12 @@
  */
 class ListTermsTest {
     /** How a call fares while discovery cannot be reached. */
-    private enum Trouble { REFUSED, NO_CONNECTION, SILENT, BUSY, BROKEN_OFF, MIXED, SILENT_ONCE_MORE }
+    private enum Trouble { REFUSED, NO_CONNECTION, SILENT, BUSY, BROKEN_OFF, MIXED, SILENT_ONCE_MORE, TURNED_AWAY_BESIDE }
 
     private static final long STEP_MS = 10;
     private static final long ANSWER_MS = 1_500;
+    /** The same where two calls were turned away before. */
+    private static final long ANSWER_THEN_MS = 1_000;
     private static final long[] ASK_WITHIN_MS = {500, 1_900, 5_000, 10_000, 20_000, 60_000, 600_000};
 
     @ParameterizedTest
@@ -54,6 +56,7 @@
         private long nowMs;
         private int failed;
         private int mostOpen;
+        private int turnedAway;
         private long silentMs = -1;
         private long learnedMs = -1;
 
@@ -63,7 +66,7 @@
             random = new Random(seed);
             latest = seed % 2 == 0;
             cutMs = random.nextInt(8_000) / STEP_MS * STEP_MS;
-            backMs = cutMs + random.nextInt(15_000) / STEP_MS * STEP_MS;
+            backMs = trouble == Trouble.TURNED_AWAY_BESIDE ? cutMs : cutMs + random.nextInt(15_000) / STEP_MS * STEP_MS;
             channel.freezeTime();
             try {
                 ObjectNode json = Fixture.config().put("seed", "%016x".formatted(random.nextLong()));
@@ -115,6 +118,9 @@
                 }
             } else if (trouble == Trouble.SILENT_ONCE_MORE && silentMs < 0) {
                 silentMs = nowMs;
+            } else if (trouble == Trouble.TURNED_AWAY_BESIDE) {
+                turnedAway++;
+                call.later(turnedAway > 2 ? ANSWER_THEN_MS : 1, turnedAway > 2 ? () -> call.answer(42) : call::fail);
             } else {
                 call.later(ANSWER_MS, () -> call.answer(42));
             }
