Have the retune test wait until the request that is to be late has been read

Cause: `openRequestsKeepTheirRules` sent part of a request and retuned at once; where the retuning was taken in first, the request came under the new settings, rightly. Change: the client asks for an invitation (100-continue), which only a proxy that has read the head gives.

--- a/proxy/src/test/java/walkpost/proxy/RetuneTest.java
+++ b/proxy/src/test/java/walkpost/proxy/RetuneTest.java
@@ -75,8 +75,9 @@
             open.send(Fixture.get("r1"));
             Wire attempt = backend.accept();
             attempt.read();
-            String coming = Fixture.post("r2", "body");
-            late.send(coming.substring(0, coming.length() - 1));
+            // It has been read so far: the proxy invites the rest.
+            late.send(Fixture.post("r2", "body").replace("Content-Length", "Expect: 100-continue\r\nContent-Length").replace("body", ""));
+            assertThat(late.readHead().first()).isEqualTo("HTTP/1.1 100 Continue");
             ObjectNode config = Fixture.config();
             classes(config).removeAll();
             classes(config).add(Config.JSON.readTree(READ));
@@ -87,7 +88,7 @@
             assertThat(attempt.read().header("X-Request-ID")).isEqualTo("r1");
             attempt.send(Peer.ok("one"));
             assertThat(open.read().body()).isEqualTo("one");
-            late.send("y");
+            late.send("body");
             assertThat(attempt.read().header("X-Request-ID")).isEqualTo("r2");
             attempt.send(Peer.ok("two"));
             assertThat(late.read().body()).isEqualTo("two");
