--- /dev/null
+++ b/proxy/src/test/java/walkpost/proxy/AttemptsTest.java
@@ -0,0 +1,170 @@
+package walkpost.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import walkpost.Balancer;
+import walkpost.Balancer.ListKind;
+import walkpost.Balancer.Outcome;
+import walkpost.Balancer.State;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Attempts on their loop, with no proxy around them. */
+class AttemptsTest {
+    private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+    private final Clock clock = new Clock();
+    private final BlockingQueue<Outcome> ends = new LinkedBlockingQueue<>();
+    private Peer peer;
+    private Backends backends;
+
+    /** Keeps the ends. */
+    private final class Heard implements Backends.AttemptListener {
+        @Override
+        public void sending() { }
+
+        @Override
+        public void sent() { }
+
+        @Override
+        public void streams(Backends.Stream stream) { }
+
+        @Override
+        public void ended(Outcome outcome, long latencyUs, Backends.Answer answer) {
+            ends.add(outcome);
+        }
+    }
+
+    @BeforeEach
+    void begin() throws Exception {
+        peer = new Peer();
+        backends = new Backends(clock, loop, NioSocketChannel.class, new Sockets(1_024), new Buffers(1 << 20), 15_000_000,
+                1_000_000);
+        loop.submit(() -> list(State.READY)).get();
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        loop.submit(() -> backends.release("s0")).get();
+        loop.shutdownGracefully();
+        peer.close();
+    }
+
+    private List<Backends.Attempt> list(State state) {
+        return backends.update(ListKind.FULL, List.of(line("s0", state, peer.port())));
+    }
+
+    private static Backends.Listed line(String id, State state, int port) {
+        return new Backends.Listed(new Balancer.Backend(id, state, "m", "a", 1, 7, 1), new InetSocketAddress("127.0.0.1", port));
+    }
+
+    private static Backends.Outgoing get(String id) {
+        return new Backends.Outgoing(HttpMethod.GET, "/api", new DefaultHttpHeaders().set("X-Request-ID", id),
+                Unpooled.EMPTY_BUFFER, null);
+    }
+
+    private Backends.Attempt start(String id, long sendByUs) {
+        return start("s0", id, sendByUs);
+    }
+
+    private Backends.Attempt start(String backend, String id, long sendByUs) {
+        Backends.Attempt attempt = backends.attempt(backend, get(id), 5_000_000, sendByUs, new Heard());
+        attempt.start();
+        return attempt;
+    }
+
+    /** The connection comes up when its first byte may no longer be written. */
+    @Test
+    void sendsNothingAfterTheLastMomentAndKeepsTheConnection() throws Exception {
+        loop.submit(() -> start("r1", clock.now() - 1)).get();
+        assertThat(Peer.next(ends)).isEqualTo(Outcome.NOT_SENT);
+        Wire only = peer.accept();
+        loop.submit(() -> start("r2", clock.now() + 5_000_000)).get();
+        assertThat(only.read().header("X-Request-ID")).isEqualTo("r2");
+        only.send(Peer.ok("x"));
+        assertThat(Peer.next(ends)).isEqualTo(Outcome.OK);
+    }
+
+    /** Netty puts off calling those who wait for a write where such calls nest too deep. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 2, 3, 4, 5, 6, 7, 8})
+    void whatHasLeftIsNotStoppedAsUnsent(int depth) throws Exception {
+        loop.submit(() -> start("r1", Long.MAX_VALUE)).get();
+        Wire wire = peer.accept();
+        wire.read();
+        wire.send(Peer.ok("x"));
+        assertThat(Peer.next(ends)).isEqualTo(Outcome.OK);
+        var unsent = new ArrayList<Backends.Attempt>();
+        loop.submit(() -> nest(depth, () -> {
+            start("r2", Long.MAX_VALUE);
+            unsent.addAll(list(State.DRAINING));
+            unsent.forEach(a -> a.abort(Outcome.NOT_SENT));
+        })).get();
+        Wire.Message came = wire.read();
+        assertThat(came == null).isEqualTo(!unsent.isEmpty());
+    }
+
+    /** The peer has the connection by then, and the loop has yet to hear that it is up. */
+    @ParameterizedTest
+    @ValueSource(strings = {"cancelled", "drained", "moved", "gone", "out and back"})
+    void nothingIsWrittenOnAConnectionThatComesUpTooLate(String meanwhile) throws Exception {
+        loop.submit(() -> {
+            Backends.Attempt attempt = start("r1", Long.MAX_VALUE);
+            // Netty connects in a task of its own, which goes before this one.
+            loop.execute(() -> stop(attempt, meanwhile));
+        }).get();
+        assertThat(Peer.next(ends)).isEqualTo(Outcome.NOT_SENT);
+        assertThat(peer.accept().ended()).isTrue();
+    }
+
+    private void stop(Backends.Attempt attempt, String how) {
+        List<Backends.Attempt> unsent = switch (how) {
+            case "cancelled" -> List.of(attempt);
+            case "drained" -> list(State.DRAINING);
+            case "moved" -> backends.update(ListKind.DELTA, List.of(line("s0", State.READY, 1)));
+            case "gone" -> backends.update(ListKind.FULL, List.of());
+            default -> backends.exclude("s0");
+        };
+        backends.include("s0");
+        unsent.forEach(a -> a.abort(Outcome.NOT_SENT));
+    }
+
+    @Test
+    void twoBackendsAtOneAddressShareNoConnection() throws Exception {
+        loop.submit(() -> backends.update(ListKind.DELTA, List.of(line("s1", State.READY, peer.port())))).get();
+        var wires = new ArrayList<Wire>();
+        for (String backend : List.of("s0", "s1")) {
+            loop.submit(() -> start(backend, "r1", Long.MAX_VALUE)).get();
+            wires.add(peer.accept());
+            wires.get(wires.size() - 1).read();
+            wires.get(wires.size() - 1).send(Peer.ok("x"));
+            assertThat(Peer.next(ends)).isEqualTo(Outcome.OK);
+        }
+        loop.submit(() -> backends.update(ListKind.DELTA, List.of(line("s0", State.DRAINING, peer.port())))).get();
+        assertThat(wires.get(0).ended()).isTrue();
+        loop.submit(() -> start("s1", "r2", Long.MAX_VALUE)).get();
+        assertThat(wires.get(1).read().header("X-Request-ID")).isEqualTo("r2");
+    }
+
+    private void nest(int depth, Runnable inside) {
+        if (depth == 0) {
+            inside.run();
+        } else {
+            loop.newSucceededFuture(null).addListener(f -> nest(depth - 1, inside));
+        }
+    }
+}
