Replace a call that is turned away less and less often, and only one beside the silent one

Cause, ours: each call turned away beside a silent one was made again after 0.1 to 0.2 s, as long as the poll lived; and the first call's own 503, which comes at 2 s just as another is made, set off one more. Where discovery has too many callers all add to them. Change: only a call beside the first is made again, and each time after twice as long.

--- a/proxy/src/main/java/walkpost/proxy/Discovery.java
+++ b/proxy/src/main/java/walkpost/proxy/Discovery.java
@@ -220,8 +220,8 @@
         private final List<Runnable> ends = new ArrayList<>(1);
         private final List<Future<?>> timers = new ArrayList<>(1);
         private int open;
-        /** Whether the first call has said nothing for so long that another was made. */
-        private boolean beside;
+        /** How many calls beside the first have failed and were made again. */
+        private int replaced;
         private boolean ended;
 
         LongPoll(boolean watching, long waitMs) {
@@ -229,7 +229,6 @@
             patience = clock.patience(waitMs);
             patience.againMs().forEach(at -> later(at, () -> {
                 log.warn("asked_again", "after_ms", at, "waiting_ms", waitMs);
-                beside = true;
                 call(0);
             }));
             // Guards against a discovery that is cut off and says nothing, or whose answer never ends: TCP alone would never tell.
@@ -242,7 +241,7 @@
         }
 
         private void call(long waitMs) {
-            open++;
+            boolean beside = open++ > 0;
             ListVersion asked = version;
             boolean changes = watching && asked.held();
             String uri = changes ? PATH + "?from=" + asked.number() + "&hold_ms=" + waitMs : PATH;
@@ -257,13 +256,13 @@
                     }
                 }
 
-                /** All is lost only if no other call is open; but one that is overdue is likely silent, and no help. */
+                /** All is lost only if no other call is open; but the first, if it is overdue, is likely silent, and no help. */
                 @Override
                 public void failed(String trouble) {
                     if (--open == 0) {
                         fail(trouble);
                     } else if (beside) {
-                        later(clock.replaceMs(random.nextDouble()), () -> call(0));
+                        later(clock.replaceMs(replaced++, random.nextDouble()), () -> call(0));
                     }
                 }
             }));
--- a/proxy/src/main/java/walkpost/proxy/ListClock.java
+++ b/proxy/src/main/java/walkpost/proxy/ListClock.java
@@ -48,8 +48,12 @@
     private static final long LATE_AGAIN_MS = 1_250;
     /** A call that waits its turn is answered within 2 s, or turned away: the last is not given up just before. */
     private static final long GIVE_UP_MS = 3_300;
-    /** A call beside a silent one that fails is made again so soon, and up to twice that, not in step with the other proxies. */
+    /**
+     * A call beside a silent one that fails is made again so soon, and up to twice that, not in step with the other proxies; then in
+     * twice the time, and so on: where all are turned away, as discovery has too many callers, nobody is to add to them.
+     */
     private static final long REPLACE_MS = 100;
+    private static final int MOST_DOUBLINGS = 4;
     /**
      * Where all proxies ask one service it takes their calls in turn, as after a mass start, and ends those that have waited too
      * long itself. A call that needs no wait is silent only past that, and what it misses counts 6 s after its beginning.
@@ -96,10 +100,11 @@
     /**
      * Returns after how long a call that has failed beside a silent one is made again: what the silent one misses counts soon.
      *
+     * @param before how many were made again before it, beside the same silent call
      * @param draw from 0 to 1, this proxy's own
      */
-    long replaceMs(double draw) {
-        return (long) (REPLACE_MS * (1 + draw));
+    long replaceMs(int before, double draw) {
+        return (long) ((REPLACE_MS << Math.min(before, MOST_DOUBLINGS)) * (1 + draw));
     }
 
     /** Returns how long the opening of a connection is waited for. */
--- a/proxy/src/test/java/walkpost/proxy/ListTermsTest.java
+++ b/proxy/src/test/java/walkpost/proxy/ListTermsTest.java
@@ -39,6 +39,8 @@
                 var played = new Played(trouble, within, seed);
                 assertThat(played.learned()).as("ask within %d ms, seed %d", within, seed).isLessThanOrEqualTo(played.told());
                 assertThat(played.mostOpen).as("calls open at once").isLessThanOrEqualTo(3);
+                // Where a proxy has to ask more often than this, so it does when it fails.
+                assertThat(played.mostInASecond()).as("calls in a second").isLessThanOrEqualTo(Math.max(6, 60_000 / within));
             }
         }
     }
@@ -57,6 +59,7 @@
         private int failed;
         private int mostOpen;
         private int turnedAway;
+        private final List<Long> madeMs = new ArrayList<>();
         private long silentMs = -1;
         private long learnedMs = -1;
 
@@ -103,6 +106,7 @@
         private Runnable call(InetSocketAddress to, String uri, int connectMs, ListRequest.Hearer hearer) {
             var call = new Call(hearer);
             open.add(call);
+            madeMs.add(nowMs);
             mostOpen = Math.max(mostOpen, open.size());
             if (nowMs < cutMs) {
                 String hold = uri.substring(uri.indexOf("hold_ms=") + 8);
@@ -162,6 +166,12 @@
             }
         }
 
+        /** A service that turns calls away is not to be asked as fast as it does so. */
+        long mostInASecond() {
+            return madeMs.stream().mapToLong(from -> madeMs.stream().filter(at -> at >= from && at < from + 1_000).count())
+                    .max().orElse(0);
+        }
+
         long told() {
             return Math.max(backMs, silentMs) + 6_000;
         }
