Let the warm-up's connections be half closed without a warning for each

The log of a start has a warning for each of the warm-up's connections: Netty does not know ALLOW_HALF_CLOSURE as an option of a socket in the file system. Change: the connection's own configuration is set, which both kinds have. Result: `WarmupTest` sees no line of a library before the warm-up is over; on the old code it does.

--- a/proxy/src/main/java/walkpost/proxy/Backends.java
+++ b/proxy/src/main/java/walkpost/proxy/Backends.java
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.EventLoop;
+import io.netty.channel.socket.DuplexChannelConfig;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -88,9 +89,7 @@
         this.buffers = buffers;
         this.bootstrap = new Bootstrap().group(loop).channel(transport)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, Headers.readingLittle())
-                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, Headers.WATER_MARK)
-                // Else nothing tells an end that the backend has sent from a close of this side's.
-                .option(ChannelOption.ALLOW_HALF_CLOSURE, true);
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, Headers.WATER_MARK);
         tune(connIdleUs, connectTimeoutUs);
     }
 
@@ -216,6 +215,10 @@
 
         private void opened(Channel channel) {
             sockets.backendOpened(channel);
+            if (channel.config() instanceof DuplexChannelConfig config) {
+                // Else nothing tells an end that the backend has sent from a close of this side's.
+                config.setAllowHalfClosure(true);
+            }
             var connection = new BackendConnection(this, buffers);
             channel.pipeline().addLast(connection.decoder(), new HttpRequestEncoder(),
                     new IdleStateHandler(0, 0, idleUs, TimeUnit.MICROSECONDS), connection);
--- a/proxy/src/test/java/walkpost/proxy/WarmupTest.java
+++ b/proxy/src/test/java/walkpost/proxy/WarmupTest.java
@@ -54,7 +54,7 @@
     @Test
     void listensOnlyOnceItIsWarm(@TempDir Path dir) throws Exception {
         try (var program = new Program(dir, config(8_000))) {
-            assertThat(program.line("warmed_up|listening")).matches(".* INFO serve warmed_up requests=[1-9]\\d*");
+            assertThat(program.line("warmed_up|listening|library")).matches(".* INFO serve warmed_up requests=[1-9]\\d*");
             assertThat(program.line("listening")).contains(" proxy=n0 ");
             try (var left = Files.list(dir)) {
                 assertThat(left).containsExactly(dir.resolve("config.json"));
