--- a/app/src/test/java/walkpost/app/RoomsTest.java
+++ b/app/src/test/java/walkpost/app/RoomsTest.java
@@ -40,11 +40,13 @@
     /** Protocols are pure, so that a simulation runs them: sockets, threads, files and clocks are the shell's alone. */
     @Test
     void theFleetsProtocolsDoNoInputOrOutput() {
-        noClasses().that().resideInAnyPackage("walkpost.fleet", "walkpost.fleet.member..", "walkpost.fleet.copy..")
+        noClasses().that().resideInAnyPackage("walkpost.fleet", "walkpost.fleet.member..", "walkpost.fleet.copy..", "walkpost.fleet.observe..")
                 .should().dependOnClassesThat().resideInAnyPackage("walkpost.fleet.shell..", "io.netty..", "org.slf4j..", "java.net..",
                         "java.nio..", "java.util.concurrent..", "java.time..").check(PROGRAM);
         noClasses().that().resideInAPackage("walkpost.fleet.member..").should().dependOnClassesThat()
-                .resideInAPackage("walkpost.fleet.copy..").check(PROGRAM);
+                .resideInAnyPackage("walkpost.fleet.copy..", "walkpost.fleet.observe..").check(PROGRAM);
+        noClasses().that().resideInAPackage("walkpost.fleet.copy..").should().dependOnClassesThat()
+                .resideInAPackage("walkpost.fleet.observe..").check(PROGRAM);
     }
 
     @Test
--- a/fleet/src/main/java/walkpost/fleet/copy/CopyEvent.java
+++ b/fleet/src/main/java/walkpost/fleet/copy/CopyEvent.java
@@ -42,4 +42,14 @@
             this(slots, 0);
         }
     }
+
+    /**
+     * Decided orders that an observer of the fleet holds, and this copy perhaps does not: a part of them, or all where the voters lost
+     * theirs. They are joined, and count for no majority.
+     */
+    record Offered(List<Slot> slots) implements CopyEvent {
+        public Offered {
+            slots = List.copyOf(slots);
+        }
+    }
 }
--- a/fleet/src/main/java/walkpost/fleet/copy/HashTree.java
+++ b/fleet/src/main/java/walkpost/fleet/copy/HashTree.java
@@ -10,20 +10,20 @@
  * kept up with each change: a leaf's hash is the exclusive or of its entries', so that order does not matter, and a node's that of
  * its leaves'. Owns the hashes of entries.
  */
-final class HashTree<K> {
-    static final int WIDTH = 16;
+public final class HashTree<K> {
+    public static final int WIDTH = 16;
 
     private final List<Map<K, Long>> leaves = new ArrayList<>();
     private final long[] hashes = new long[WIDTH * WIDTH];
 
-    HashTree() {
+    public HashTree() {
         for (int i = 0; i < WIDTH * WIDTH; i++) {
             leaves.add(new LinkedHashMap<>());
         }
     }
 
     /** Puts an entry in, or its new content. Keys' upper bits choose the leaf, as the lower ones have chosen the shard. */
-    void put(K key, long keyHash, long content) {
+    public void put(K key, long keyHash, long content) {
         int leaf = (int) (keyHash >>> 56);
         long hash = entry(keyHash, content);
         Long before = leaves.get(leaf).put(key, hash);
@@ -31,14 +31,14 @@
     }
 
     /** Takes an entry out, if it is there. */
-    void remove(K key, long keyHash) {
+    public void remove(K key, long keyHash) {
         int leaf = (int) (keyHash >>> 56);
         Long before = leaves.get(leaf).remove(key);
         hashes[leaf] ^= before == null ? 0 : before;
     }
 
     /** Returns the hash of everything. */
-    long root() {
+    public long root() {
         long root = 0;
         for (int leaf = 0; leaf < hashes.length; leaf++) {
             root ^= mix(hashes[leaf] + leaf);
@@ -47,7 +47,7 @@
     }
 
     /** Returns the hashes of the 16 nodes. */
-    long[] nodes() {
+    public long[] nodes() {
         long[] nodes = new long[WIDTH];
         for (int leaf = 0; leaf < hashes.length; leaf++) {
             nodes[leaf / WIDTH] ^= mix(hashes[leaf] + leaf);
@@ -56,19 +56,19 @@
     }
 
     /** Returns the hashes of a node's 16 leaves. */
-    long[] leaves(int node) {
+    public long[] leaves(int node) {
         long[] under = new long[WIDTH];
         System.arraycopy(hashes, node * WIDTH, under, 0, WIDTH);
         return under;
     }
 
     /** Returns a leaf's entries with their hashes; a view. */
-    Map<K, Long> entries(int leaf) {
+    public Map<K, Long> entries(int leaf) {
         return leaves.get(leaf);
     }
 
     /** Returns the hash of an entry, or null where there is none. */
-    Long hash(K key, long keyHash) {
+    public Long hash(K key, long keyHash) {
         return leaves.get((int) (keyHash >>> 56)).get(key);
     }
 
--- a/fleet/src/main/java/walkpost/fleet/copy/Shard.java
+++ b/fleet/src/main/java/walkpost/fleet/copy/Shard.java
@@ -75,6 +75,8 @@
             }
         } else if (event instanceof CopyEvent.Propose propose) {
             proposals.propose(nowUs, propose, out);
+        } else if (event instanceof CopyEvent.Offered offered) {
+            offered.slots().forEach(slot -> book.merge(nowUs, slot, 0));
         } else if (event instanceof CopyEvent.Restored restored) {
             touch.restored(nowUs, restored.awayUs());
             restored.slots().forEach(slot -> book.merge(nowUs, slot, 0));
--- a/fleet/src/main/java/walkpost/fleet/copy/Shards.java
+++ b/fleet/src/main/java/walkpost/fleet/copy/Shards.java
@@ -14,7 +14,7 @@
     }
 
     /** Returns the hash of some words, each kept apart from the next. */
-    static long hash(String... words) {
+    public static long hash(String... words) {
         StringBuilder text = new StringBuilder(64);
         for (String word : words) {
             // The length goes in front: no two lists of words make one text. A word may be absent, which differs from an empty one.
--- a/fleet/src/main/java/walkpost/fleet/copy/Sizes.java
+++ b/fleet/src/main/java/walkpost/fleet/copy/Sizes.java
@@ -5,9 +5,9 @@
 import java.util.function.ToIntFunction;
 
 /** About how many bytes things take in a message (CBOR, with the names of fields), never less; and bounds on what callers give. */
-final class Sizes {
+public final class Sizes {
     /** What is put into one message, so that it stays below 32 KiB with all that goes around it. */
-    static final int MESSAGE = 20 * 1024;
+    public static final int MESSAGE = 20 * 1024;
     static final int TOPIC = 64;
     static final int SUBJECT = 256;
     static final int ID = 64;
@@ -16,7 +16,7 @@
     private Sizes() { }
 
     /** Returns the length of a text in UTF-8; one that is absent takes none. */
-    static int utf8(String text) {
+    public static int utf8(String text) {
         if (text == null) {
             return 0;
         }
@@ -33,15 +33,15 @@
         return 32 + utf8(key.topic()) + utf8(key.subject()) + utf8(key.writer());
     }
 
-    static int of(Fact fact) {
+    public static int of(Fact fact) {
         return 72 + of(fact.key()) + utf8(fact.payload());
     }
 
-    static int of(Order.Key key) {
+    public static int of(Order.Key key) {
         return 24 + utf8(key.topic()) + utf8(key.subject());
     }
 
-    static int of(Slot slot) {
+    public static int of(Slot slot) {
         int bytes = 48 + of(slot.key());
         for (Order head : slot.heads()) {
             bytes += 120 + of(head.key()) + utf8(head.id()) + utf8(head.payload()) + utf8(head.before()) + utf8(head.issuer().name());
@@ -51,7 +51,7 @@
     }
 
     /** Cuts a list so that each part fits a message; one entry that does not fits none and goes alone. */
-    static <T> List<List<T>> parts(List<T> all, ToIntFunction<T> size) {
+    public static <T> List<List<T>> parts(List<T> all, ToIntFunction<T> size) {
         List<List<T>> parts = new ArrayList<>();
         List<T> part = new ArrayList<>();
         int bytes = 0;
--- a/fleet/src/main/java/walkpost/fleet/copy/SlotRule.java
+++ b/fleet/src/main/java/walkpost/fleet/copy/SlotRule.java
@@ -14,7 +14,7 @@
  * copy has seen end is a set that only grows, {@code replaced} and all up to {@code floor}; its union with the other's is taken off the
  * union of heads.
  */
-final class SlotRule {
+public final class SlotRule {
     /** How many ids that are over a slot remembers one by one; older ones lie under its floor. */
     static final int REMEMBERED = 64;
     /** The topic in which rivals act together: a server is excluded if any of them excludes it. */
@@ -33,7 +33,7 @@
     private SlotRule() { }
 
     /** Returns the join of two copies of one slot. */
-    static Slot join(Slot one, Slot other) {
+    public static Slot join(Slot one, Slot other) {
         TreeMap<String, Order> heads = new TreeMap<>();
         TreeMap<String, Long> replaced = new TreeMap<>();
         for (Slot slot : List.of(one, other)) {
@@ -55,7 +55,7 @@
     }
 
     /** Returns the slot once an order is decided in it. */
-    static Slot with(Slot slot, Order order) {
+    public static Slot with(Slot slot, Order order) {
         return join(slot, new Slot(slot.key(), List.of(order), Map.of(), 0));
     }
 
@@ -76,17 +76,17 @@
     }
 
     /** Returns the head with this id, or null. */
-    static Order head(Slot slot, String id) {
+    public static Order head(Slot slot, String id) {
         return slot.heads().stream().filter(head -> head.id().equals(id)).findFirst().orElse(null);
     }
 
     /** Returns whether nothing stands, so that all that is held is the memory of a removal. */
-    static boolean removed(Slot slot) {
+    public static boolean removed(Slot slot) {
         return slot.heads().stream().allMatch(head -> head.payload() == null);
     }
 
     /** Returns what to act on: see the table in {@code docs/fleet.md}. */
-    static Acting acting(Slot slot) {
+    public static Acting acting(Slot slot) {
         if (slot.heads().isEmpty()) {
             return new Acting(null, null, List.of());
         }
@@ -112,7 +112,7 @@
     }
 
     /** Returns a hash of all that a slot holds, the same for equal slots on all members. */
-    static long hash(Slot slot) {
+    public static long hash(Slot slot) {
         List<String> words = new ArrayList<>();
         for (Order head : slot.heads().stream().sorted(Comparator.comparing(Order::id)).toList()) {
             words.addAll(List.of(head.id(), Long.toString(head.version()), head.issuer().toString()));
@@ -130,7 +130,7 @@
      * Returns slots whose join is this one, each small enough for a message: rivals may be too many for one. What is over comes in
      * the last part, with the head of this id if there is one, so that nothing is taken for over before its successor is known.
      */
-    static List<Slot> parts(Slot slot, String last) {
+    public static List<Slot> parts(Slot slot, String last) {
         if (slot.heads().size() < 2 || Sizes.of(slot) <= Sizes.MESSAGE) {
             return List.of(slot);
         }
