--- a/fleet/src/main/java/walkpost/fleet/FleetException.java
+++ b/fleet/src/main/java/walkpost/fleet/FleetException.java
@@ -16,6 +16,12 @@
         this.remedy = remedy;
     }
 
+    /** Returns what happened, without what can be done. */
+    public final String what() {
+        String text = getMessage();
+        return text.substring(0, text.length() - remedy.length() - 2);
+    }
+
     /** Returns what an operator can do, in words. */
     public final String remedy() {
         return remedy;
@@ -86,10 +92,17 @@
     /** Another order on the same thing is on its way. Nothing has changed. */
     public static final class Busy extends FleetException {
         private static final long serialVersionUID = 1L;
+        private final boolean itself;
 
         /** Names the order and the other one. */
         public Busy(String order, String other) {
             super(order + " crosses " + other, "wait a second, look at 'orders' and decide anew");
+            itself = order.equals(other);
+        }
+
+        /** Returns whether it is the same order on its way over another member. */
+        public boolean itself() {
+            return itself;
         }
     }
 
@@ -124,6 +137,27 @@
         }
     }
 
+    /** A voter has refused what an observer handed on to it. The type is the one that it has there, its remedy as well. */
+    public static final class FromVoter extends FleetException {
+        private static final long serialVersionUID = 1L;
+
+        /** Names the voter, the type of its reason, what happened there and what can be done. */
+        public FromVoter(String voter, String type, String what, String remedy) {
+            super(voter + " says " + type + ": " + what, remedy);
+        }
+    }
+
+    /** No voter could be reached with an order, by an observer. Nothing has changed. */
+    public static final class NoVoter extends FleetException {
+        private static final long serialVersionUID = 1L;
+
+        /** Names the order, the observer, and how long ago it last knew its copy to be the fleet's. */
+        public NoVoter(String order, String observer, String age) {
+            super(order + " reached no voter from " + observer + ", which last was sure of its copy " + age,
+                    "ask a member that reaches a voter; see to the voters that 'fleet' does not show as alive");
+        }
+    }
+
     private static String list(Collection<String> names) {
         return names.stream().sorted().collect(Collectors.joining(", "));
     }
--- a/fleet/src/main/java/walkpost/fleet/copy/FactBook.java
+++ b/fleet/src/main/java/walkpost/fleet/copy/FactBook.java
@@ -16,8 +16,6 @@
 final class FactBook {
     /** Figures above this are refused, so that a writer gone mad can't end its own counting, or that of its next life. */
     static final long LIMIT = Long.MAX_VALUE - (1L << 32);
-    /** What a fact may hold at most, in bytes. */
-    static final int PAYLOAD = 8192;
 
     private static final Comparator<Fact> NEWER = Comparator.comparingLong(Fact::incarnation).thenComparingLong(Fact::version)
             .thenComparing(Fact::payload, Comparator.nullsFirst(Comparator.naturalOrder()));
@@ -68,7 +66,7 @@
 
     /** Writes a fact of this member's own; returns its key, or null where it is too long and was refused. */
     Fact.Key tell(long nowUs, String topic, String subject, String payload) {
-        if (Sizes.utf8(topic) > Sizes.TOPIC || Sizes.utf8(subject) > Sizes.SUBJECT || Sizes.utf8(payload) > PAYLOAD) {
+        if (Sizes.utf8(topic) > Sizes.TOPIC || Sizes.utf8(subject) > Sizes.SUBJECT || Sizes.utf8(payload) > Sizes.FACT) {
             figures.count("facts.too_long");
             return null;
         }
@@ -85,7 +83,7 @@
      */
     void take(long nowUs, Fact fact, boolean pass, Outbox out) {
         if (fact.incarnation() < 0 || fact.incarnation() > LIMIT || fact.version() < 0 || fact.version() > LIMIT || fact.ageUs() < 0
-                || fact.ageUs() > Touch.NEVER_US || Sizes.utf8(fact.payload()) > PAYLOAD) {
+                || fact.ageUs() > Touch.NEVER_US || Sizes.utf8(fact.payload()) > Sizes.FACT) {
             figures.count("facts.refused");
             return;
         }
--- a/fleet/src/main/java/walkpost/fleet/copy/Sizes.java
+++ b/fleet/src/main/java/walkpost/fleet/copy/Sizes.java
@@ -8,10 +8,12 @@
 public final class Sizes {
     /** What is put into one message, so that it stays below 32 KiB with all that goes around it. */
     public static final int MESSAGE = 20 * 1024;
-    static final int TOPIC = 64;
-    static final int SUBJECT = 256;
-    static final int ID = 64;
-    static final int PAYLOAD = 4096;
+    public static final int TOPIC = 64;
+    public static final int SUBJECT = 256;
+    public static final int ID = 64;
+    public static final int PAYLOAD = 4096;
+    /** What a fact may hold at most. */
+    public static final int FACT = 8192;
 
     private Sizes() { }
 
--- /dev/null
+++ b/fleet/src/main/java/walkpost/fleet/observe/Comparison.java
@@ -0,0 +1,156 @@
+package walkpost.fleet.observe;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import walkpost.fleet.copy.CopyMessage.SlotStamp;
+import walkpost.fleet.copy.HashTree;
+import walkpost.fleet.copy.Order;
+import walkpost.fleet.copy.Sizes;
+import walkpost.fleet.copy.Slot;
+
+/**
+ * How an observer finds out what it misses, or has more of, than a level voter: owns the one comparison that is under way. Nodes that
+ * differ are gone through some at a time, and what is missing is fetched some at a time, so that a voter that many observers compare
+ * themselves with has little to do for each at once. A comparison that gets lost is begun anew with the next beat.
+ */
+final class Comparison {
+    /** Without a step for so long it is given up. */
+    private static final long PATIENCE_US = 1_000_000;
+    private static final int NODES_AT_ONCE = 4;
+    private static final int KEYS_AT_ONCE = 128;
+
+    private final SlotTable table;
+    private final Counts counts;
+    private final long seed;
+    private String with;
+    private long seq;
+    private long movedUs;
+    private BitSet parts;
+    private final Map<Order.Key, Long> theirs = new HashMap<>();
+    private final Set<Integer> leaves = new LinkedHashSet<>();
+    private final List<Order.Key> wanted = new ArrayList<>();
+    private final Set<Order.Key> asked = new HashSet<>();
+
+    Comparison(SlotTable table, Counts counts, long seed) {
+        this.table = table;
+        this.counts = counts;
+        this.seed = seed;
+    }
+
+    /** Begins, where nothing is under way: the nodes of a voter's tree differ from those here. */
+    void nodes(long nowUs, String voter, long beat, long[] nodes, Send send) {
+        if (nodes.length != HashTree.WIDTH || with != null && nowUs - movedUs < PATIENCE_US) {
+            return;
+        }
+        long[] mine = table.tree().nodes();
+        // Each observer begins somewhere else, so that what all of them have and the voters lost is offered in different parts.
+        int[] differing = new int[NODES_AT_ONCE];
+        int count = 0;
+        int first = (int) Math.floorMod(seed, (long) HashTree.WIDTH);
+        for (int i = 0; i < HashTree.WIDTH && count < NODES_AT_ONCE; i++) {
+            int node = (first + i) % HashTree.WIDTH;
+            if (mine[node] != nodes[node]) {
+                differing[count++] = node;
+            }
+        }
+        if (count == 0) {
+            return;
+        }
+        end();
+        with = voter;
+        seq = beat;
+        movedUs = nowUs;
+        int[] asking = Arrays.copyOf(differing, count);
+        long[] under = new long[count * HashTree.WIDTH];
+        for (int i = 0; i < count; i++) {
+            System.arraycopy(table.tree().leaves(asking[i]), 0, under, i * HashTree.WIDTH, HashTree.WIDTH);
+        }
+        counts.count("compared.differing");
+        send.to(voter, new ObserveMessage.Leaves(seq, asking, under));
+    }
+
+    /** What stands at the voter in the leaves that differ. Returns whether the comparison is over. */
+    boolean stamps(long nowUs, String from, ObserveMessage.Stamps stamps, long awayUs, Send send) {
+        if (!from.equals(with) || stamps.seq() != seq || stamps.part() < 0 || stamps.part() >= stamps.parts()) {
+            return false;
+        }
+        movedUs = nowUs;
+        if (parts == null) {
+            parts = new BitSet();
+        }
+        parts.set(stamps.part());
+        for (int leaf : stamps.leaves()) {
+            if (leaf >= 0 && leaf < HashTree.WIDTH * HashTree.WIDTH) {
+                leaves.add(leaf);
+            }
+        }
+        stamps.stamps().forEach(stamp -> theirs.put(stamp.key(), stamp.hash()));
+        if (parts.cardinality() < stamps.parts()) {
+            return false;
+        }
+        theirs.forEach((key, hash) -> {
+            if (!hash.equals(table.hash(key))) {
+                wanted.add(key);
+            }
+        });
+        offer(awayUs, send);
+        return next(nowUs, send);
+    }
+
+    /** Slots that were asked for have come and are joined. Returns whether the comparison is over. */
+    boolean slots(long nowUs, String from, List<Slot> slots, Send send) {
+        if (!from.equals(with)) {
+            return false;
+        }
+        slots.forEach(slot -> asked.remove(slot.key()));
+        movedUs = nowUs;
+        return asked.isEmpty() && parts != null && next(nowUs, send);
+    }
+
+    /** What goes beyond the voter's slot, once that is joined into the one here, is offered in turn. */
+    void more(String to, long awayUs, List<Slot> joined, Send send) {
+        Sizes.parts(joined, Sizes::of).forEach(part -> send.to(to, new ObserveMessage.Offer(awayUs, part)));
+    }
+
+    private boolean next(long nowUs, Send send) {
+        if (wanted.isEmpty()) {
+            end();
+            return true;
+        }
+        List<Order.Key> asking = List.copyOf(wanted.subList(0, Math.min(KEYS_AT_ONCE, wanted.size())));
+        wanted.subList(0, asking.size()).clear();
+        asked.addAll(asking);
+        movedUs = nowUs;
+        send.to(with, new ObserveMessage.Want(seq, asking));
+        return false;
+    }
+
+    /** Offers what stands here and not at the voter: one message of it, as others may have the rest. */
+    private void offer(long awayUs, Send send) {
+        List<Slot> more = new ArrayList<>();
+        for (int leaf : leaves) {
+            table.tree().entries(leaf).keySet().stream().filter(key -> !theirs.containsKey(key)).map(table::slot).forEach(more::add);
+        }
+        if (!more.isEmpty()) {
+            List<List<Slot>> all = Sizes.parts(more, Sizes::of);
+            send.to(with, new ObserveMessage.Offer(awayUs, all.get((int) Math.floorMod(seed + seq, (long) all.size()))));
+            counts.count("offers");
+        }
+    }
+
+    private void end() {
+        with = null;
+        parts = null;
+        theirs.clear();
+        leaves.clear();
+        wanted.clear();
+        asked.clear();
+    }
+}
--- a/fleet/src/main/java/walkpost/fleet/observe/ObserveMessage.java
+++ b/fleet/src/main/java/walkpost/fleet/observe/ObserveMessage.java
@@ -136,11 +136,11 @@
     }
 
     /**
-     * What came of a call: the acknowledged order, or the type and text of the reason why not.
+     * What came of a call: the acknowledged order, or the reason why not: its type, what happened, and what an operator can do.
      *
      * @param again whether another voter, or this one a moment later, may well take it
      */
-    record Answer(String id, Order order, String type, String text, boolean again) implements ObserveMessage {
+    record Answer(String id, Order order, String type, String text, String remedy, boolean again) implements ObserveMessage {
         public Answer {
             Objects.requireNonNull(id, "id");
         }
--- a/fleet/src/main/java/walkpost/fleet/observe/Observer.java
+++ b/fleet/src/main/java/walkpost/fleet/observe/Observer.java
@@ -1,21 +1,55 @@
 package walkpost.fleet.observe;
 
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.Consumer;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
 import walkpost.fleet.Machine;
 import walkpost.fleet.copy.Acting;
 import walkpost.fleet.copy.Order;
+import walkpost.fleet.copy.Slot;
+import walkpost.fleet.copy.SlotRule;
 import walkpost.fleet.member.Life;
 
 /**
  * A member without a vote: it keeps a copy of all shards' orders by way of two voters, its feeds, whatever the number of members or
- * shards. See {@code docs/fleet.md}.
+ * shards. See {@code docs/fleet.md}. Its parts own one state each; this class owns what has been told to the process, and how sure it is
+ * of its copy.
+ *
+ * <p>Slots are joined, never replaced, so that no voter, however far behind, takes it back. What it was told is acted on until something
+ * newer comes, also where no voter is in reach.
  *
  * <p>Readers are to be called by whoever may call {@link #handle}, under the same lock; what they return stays as it is.
  */
 public final class Observer implements Machine<ObserverEvent, ObserverAction> {
+    /** The age of a copy that never was level: huge, and small enough for sums. */
+    public static final long NEVER_US = Long.MAX_VALUE / 4;
+    /** A step of the clock that is no mere slowness. */
+    private static final long GAP_US = 1_000_000;
+
+    private final ObserveSettings settings;
+    private final Set<String> voters;
+    private final Counts counts = new Counts();
+    private final SlotTable table = new SlotTable();
+    private final Feeds feeds;
+    private final Comparison comparison;
+    private final Calls calls;
+    private final OwnFacts facts;
+    private final Map<Order.Key, Acting> told = new HashMap<>();
+    private final Set<Order.Key> untold = new LinkedHashSet<>();
+    private Map<String, Integer> lives = Map.of();
+    /** Whether the copy was once equal to a level voter's: then what it holds may be acted on. */
+    private boolean sure;
+    private boolean level;
+    private long equalUs;
+    private long lastUs = Long.MIN_VALUE;
+
     /**
      * Makes an observer that holds nothing.
      *
@@ -25,39 +59,193 @@
      * @param seed of the random choice among voters and of back-offs
      */
     public Observer(ObserveSettings settings, Life self, String region, Set<String> voters, long seed) {
+        if (voters.isEmpty() || voters.contains(self.name())) {
+            throw new IllegalArgumentException("an observer needs voters, and is none of them");
+        }
+        this.settings = settings;
+        this.voters = Set.copyOf(voters);
+        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+        feeds = new Feeds(settings, self.name(), region, counts, random);
+        comparison = new Comparison(table, counts, seed);
+        calls = new Calls(settings, self.name(), counts);
+        facts = new OwnFacts(self, counts);
     }
 
     @Override
     public void handle(long nowUs, ObserverEvent event, Consumer<ObserverAction> actions) {
+        clock(nowUs);
+        Send send = (to, message) -> actions.accept(new ObserverAction.Send(to, message));
+        if (event instanceof ObserverEvent.Tick) {
+            tick(nowUs, send, actions);
+        } else if (event instanceof ObserverEvent.Voters living) {
+            feeds.living(new TreeSet<>(living.roundTripUs().keySet().stream().filter(voters::contains).toList()));
+        } else if (event instanceof ObserverEvent.Received received) {
+            if (voters.contains(received.from())) {
+                receive(nowUs, received.from(), received.message(), send, actions);
+            } else {
+                counts.count("dropped.no_voter");
+            }
+        } else if (event instanceof ObserverEvent.Tell tell) {
+            facts.tell(nowUs, tell.topic(), tell.subject(), tell.payload());
+        } else if (event instanceof ObserverEvent.Propose propose) {
+            calls.propose(nowUs, propose);
+            calls.tick(nowUs, feeds.inTurn(), controlAgeUs(nowUs), send, actions);
+        }
+        settle(nowUs, actions);
     }
 
     /** Returns whether this copy was found equal to a level voter's, and no silence since has put that in doubt. */
     public boolean level() {
-        return false;
+        return level;
     }
 
-    /** Returns how long ago this copy was last known to be the fleet's, in microseconds; a huge number where it never was. */
+    /** Returns how long ago this copy was last known to be the fleet's, in microseconds; {@link #NEVER_US} where it never was. */
     public long controlAgeUs(long nowUs) {
-        return 0;
+        return sure ? nowUs - equalUs : NEVER_US;
     }
 
     /** Returns what stands, by key; removals that are remembered are among them, with no payload. */
     public Map<Order.Key, Acting> acting() {
-        return Map.of();
+        return table.acting();
     }
 
     /** Returns the voters that feed this observer now, the one that counts it first. */
     public List<String> feeds() {
-        return List.of();
+        return feeds.joined();
     }
 
     /** Returns how many observers live by region, as the voters say; empty where that is not known. */
     public Map<String, Integer> lives() {
-        return Map.of();
+        return lives;
     }
 
     /** Returns counts by name. */
     public Map<String, Long> figures() {
-        return Map.of();
+        Map<String, Long> all = counts.all();
+        all.put("slots", (long) table.size());
+        return all;
+    }
+
+    /** Returns an age in words, for people. */
+    public static String words(long ageUs) {
+        return ageUs >= NEVER_US ? "never" : ageUs / 1_000_000 + " s ago";
+    }
+
+    private void clock(long nowUs) {
+        if (lastUs != Long.MIN_VALUE && nowUs - lastUs > GAP_US) {
+            counts.count("stood_still");
+            feeds.stoodStill(nowUs - lastUs);
+        }
+        lastUs = nowUs;
+    }
+
+    private void tick(long nowUs, Send send, Consumer<ObserverAction> actions) {
+        table.forget(nowUs, settings.removalUs());
+        feeds.tick(nowUs, table.tree().root(), controlAgeUs(nowUs), send);
+        facts.tick(nowUs, feeds.joined(), feeds, send);
+        calls.tick(nowUs, feeds.inTurn(), controlAgeUs(nowUs), send, actions);
+    }
+
+    private void receive(long nowUs, String from, ObserveMessage message, Send send, Consumer<ObserverAction> actions) {
+        if (message instanceof ObserveMessage.Echo echo) {
+            echo(nowUs, from, echo, send, actions);
+        } else if (message instanceof ObserveMessage.Push push) {
+            push.slots().forEach(slot -> join(nowUs, slot));
+            send.to(from, new ObserveMessage.Taken(push.number()));
+        } else if (message instanceof ObserveMessage.Stamps stamps) {
+            if (comparison.stamps(nowUs, from, stamps, controlAgeUs(nowUs), send)) {
+                feeds.beatSoon(nowUs, from);
+            }
+        } else if (message instanceof ObserveMessage.Slots slots) {
+            slots(nowUs, from, slots, send);
+        } else if (message instanceof ObserveMessage.Answer answer) {
+            calls.answer(nowUs, from, answer, actions);
+        } else if (message instanceof ObserveMessage.Welcome welcome) {
+            if (feeds.welcome(nowUs, from, welcome)) {
+                facts.all(nowUs, from, feeds, send);
+            }
+        } else if (message instanceof ObserveMessage.Later later) {
+            feeds.later(nowUs, from, later, send);
+        } else {
+            counts.count("dropped.not_for_observers");
+        }
+    }
+
+    private void echo(long nowUs, String from, ObserveMessage.Echo echo, Send send, Consumer<ObserverAction> actions) {
+        Long askedUs = feeds.echo(nowUs, from, echo.seq());
+        if (askedUs == null || !echo.level()) {
+            // A voter that is not level may be behind: it tells nothing of what the fleet holds.
+            return;
+        }
+        if (!echo.lives().isEmpty() && !echo.lives().equals(lives)) {
+            lives = echo.lives();
+            actions.accept(new ObserverAction.Lives(lives));
+        }
+        if (echo.nodes().length == 0) {
+            equalUs = sure ? Math.max(equalUs, askedUs) : askedUs;
+            sure = true;
+            return;
+        }
+        if (sure && nowUs - equalUs - Math.max(0, echo.awayUs()) > settings.removalUs() / 2) {
+            // So long away that what was removed meanwhile may be forgotten by now. What was told is acted on until the copy is whole.
+            counts.count("copy.emptied");
+            untold.addAll(table.clear());
+            sure = false;
+        }
+        comparison.nodes(nowUs, from, echo.seq(), echo.nodes(), send);
+    }
+
+    private void slots(long nowUs, String from, ObserveMessage.Slots slots, Send send) {
+        List<Slot> more = new ArrayList<>();
+        for (Slot slot : slots.slots()) {
+            join(nowUs, slot);
+            Slot joined = table.slot(slot.key());
+            if (!slot.none() && !SlotRule.removed(joined) && !joined.equals(SlotRule.join(slot, slot))) {
+                more.add(joined);
+            }
+        }
+        comparison.more(from, controlAgeUs(nowUs), more, send);
+        if (comparison.slots(nowUs, from, slots.slots(), send)) {
+            feeds.beatSoon(nowUs, from);
+        }
+    }
+
+    private void join(long nowUs, Slot slot) {
+        if (table.join(nowUs, slot)) {
+            untold.add(slot.key());
+        }
+    }
+
+    private void settle(long nowUs, Consumer<ObserverAction> actions) {
+        boolean now = sure && nowUs - equalUs <= settings.silenceUs() + settings.beatUs();
+        if (sure) {
+            tellOrders(actions);
+        }
+        if (now != level) {
+            level = now;
+            counts.count(now ? "level.reached" : "level.lost");
+            actions.accept(new ObserverAction.Level(now));
+            if (!now && !lives.isEmpty()) {
+                lives = Map.of();
+                actions.accept(new ObserverAction.Lives(lives));
+            }
+        }
+    }
+
+    private void tellOrders(Consumer<ObserverAction> actions) {
+        for (Order.Key key : untold) {
+            Acting acting = SlotRule.acting(table.slot(key));
+            Acting before = told.get(key);
+            if (acting.chosen() == null) {
+                told.remove(key);
+                if (before != null && before.payload() != null) {
+                    actions.accept(new ObserverAction.Stands(key, acting));
+                }
+            } else if (!acting.equals(before)) {
+                told.put(key, acting);
+                actions.accept(new ObserverAction.Stands(key, acting));
+            }
+        }
+        untold.clear();
     }
 }
--- /dev/null
+++ b/fleet/src/main/java/walkpost/fleet/observe/OwnFacts.java
@@ -0,0 +1,65 @@
+package walkpost.fleet.observe;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import walkpost.fleet.copy.Fact;
+import walkpost.fleet.copy.Sizes;
+import walkpost.fleet.member.Life;
+
+/** What this observer has told of itself: owns its facts, and reports them to its feeds, which keep them for whoever asks. */
+final class OwnFacts {
+    /** So many facts an observer may have told at a time; one more is refused. */
+    static final int MOST = 64;
+
+    private record Told(String payload, long version, long seenUs) { }
+
+    private final Life self;
+    private final Counts counts;
+    private final Map<Fact.Key, Told> facts = new LinkedHashMap<>();
+    private final Map<Fact.Key, Told> news = new LinkedHashMap<>();
+    private long version;
+
+    OwnFacts(Life self, Counts counts) {
+        this.self = self;
+        this.counts = counts;
+    }
+
+    void tell(long nowUs, String topic, String subject, String payload) {
+        var key = new Fact.Key(topic, subject, self.name());
+        if (Sizes.utf8(topic) > Sizes.TOPIC || Sizes.utf8(subject) > Sizes.SUBJECT || Sizes.utf8(payload) > Sizes.FACT
+                || !facts.containsKey(key) && facts.size() >= MOST) {
+            counts.count("facts.refused");
+            return;
+        }
+        var told = new Told(payload, ++version, nowUs);
+        facts.put(key, told);
+        news.put(key, told);
+        if (payload == null) {
+            facts.remove(key);
+        }
+    }
+
+    /** Reports what is new to all feeds. */
+    void tick(long nowUs, Collection<String> feeds, Feeds ways, Send send) {
+        if (!news.isEmpty()) {
+            feeds.forEach(to -> report(nowUs, to, news, ways, send));
+            news.clear();
+        }
+    }
+
+    /** Reports all to one that has just become a feed. */
+    void all(long nowUs, String to, Feeds ways, Send send) {
+        report(nowUs, to, facts, ways, send);
+    }
+
+    private void report(long nowUs, String to, Map<Fact.Key, Told> told, Feeds ways, Send send) {
+        List<Fact> all = new ArrayList<>();
+        // The way counts as well, by its round trip: an age is never too low.
+        told.forEach((key, fact) -> all.add(new Fact(key, self.incarnation(), fact.version, fact.payload,
+                nowUs - fact.seenUs + ways.roundTripUs(to))));
+        Sizes.parts(all, Sizes::of).forEach(part -> send.to(to, new ObserveMessage.Report(part)));
+    }
+}
