Look for a client's end before an attempt where its connection may have waited unread

A request and the end behind it lay in the listener's queue. The loop accepts one client a turn, and each client is read from once a turn: the request was read, decided on and sent in the turn before the one that reads the end. The queue alone suffices.

Backlog tells whether a client that is accepted may have waited: accepting was paused, the loop was held up, or somebody has been accepted in every turn for 20 ms. Then its connection, and any that is read after a hold-up, counts as one whose end may be unread until a look at the sockets has brought nothing more of it, as one read takes in only so much; attempts wait for that, 20 looks at most. Others wait for nothing.

A look is a turn of the loop for certain now: a delay of 1 ms that is set within a batch of reads was over at the batch's end, where it lasted longer, and no socket had been looked at in between.

Tests: ClosingTest.whoeverHasGoneBeforeItIsAccepted... fails without the mend (both cases), and with a single look (the one that sends more than a read takes in); BacklogTest.

--- a/proxy/src/main/java/walkpost/proxy/ClientConnection.java
+++ b/proxy/src/main/java/walkpost/proxy/ClientConnection.java
@@ -32,6 +32,9 @@
     private final Closing closing;
     private final ReadAhead waiting;
     private final RequestDecoder decoder = new RequestDecoder();
+    /** Whether there was a time when it was not read from: behind what has been read since, the client's end may stand. */
+    private boolean endMayBeUnread;
+    private int reads;
     private Channel channel;
     private Exchange exchange;
     private Intake intake;
@@ -42,10 +45,11 @@
     private FullHttpResponse parting;
     private Future<?> overdue;
 
-    ClientConnection(Frontend front, Closing closing) {
+    ClientConnection(Frontend front, Closing closing, boolean waited) {
         this.front = front;
         this.closing = closing;
         this.waiting = new ReadAhead(front.buffers);
+        this.endMayBeUnread = waited;
     }
 
     @Override
@@ -60,11 +64,12 @@
     /** A request's time counts from its last byte; the nearest to its sending that can be known is this read. */
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+        lookBehind();
         if (parting != null || closing.begun()) {
             ReferenceCountUtil.release(message);
             return;
         }
-        readAt = front.readAt();
+        readAt = front.beat().arrivedAt();
         if (!receiving()) {
             expectHead();
             front.sockets.clientIdle(closing, false);
@@ -82,6 +87,16 @@
         }
     }
 
+    /** One read takes in only so much: the end has been looked for once a look at the sockets has brought nothing more. */
+    private void lookBehind() {
+        reads++;
+        endMayBeUnread |= front.beat().heldUp();
+        if (endMayBeUnread) {
+            int before = reads;
+            front.beat().afterLook(() -> endMayBeUnread &= reads != before);
+        }
+    }
+
     /** Returns whether bytes of a request have come that is not whole yet. */
     private boolean receiving() {
         return intake != null || decoder.midway();
@@ -325,6 +340,11 @@
         return exchange == asked;
     }
 
+    /** Returns whether the client's end may have come some time ago and still lie unread. */
+    boolean endMayBeUnread() {
+        return endMayBeUnread;
+    }
+
     /** Returns whether the request that is coming is this one. */
     boolean takesIn(Intake asked) {
         return intake == asked;
--- a/proxy/src/main/java/walkpost/proxy/Exchange.java
+++ b/proxy/src/main/java/walkpost/proxy/Exchange.java
@@ -286,6 +286,11 @@
         return connection.answers(this) && connection.channel().isActive();
     }
 
+    @Override
+    public boolean endMayBeUnread() {
+        return connection.endMayBeUnread();
+    }
+
     /** There is no time left to wait for its answer: it fails now, unless it has not come whole or is being answered. */
     void answerNow() {
         if (whole && answer == null) {
--- a/proxy/src/main/java/walkpost/proxy/Frontend.java
+++ b/proxy/src/main/java/walkpost/proxy/Frontend.java
@@ -40,7 +40,7 @@
     private final BooleanSupplier ready;
     private Terms terms;
     private final Set<ClientConnection> connections = new HashSet<>();
-    private Listener listener;
+    private Backlog listener;
     private boolean draining;
     private boolean ended;
     private boolean closing;
@@ -75,7 +75,7 @@
                 .option(ChannelOption.RECVBUF_ALLOCATOR, new ServerChannelRecvByteBufAllocator())
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childHandler(new Admission()).bind(address);
-        listenAt(loop, new Listener() {
+        listenAt(new Listener() {
             @Override
             public void accept(boolean on) {
                 bound.channel().config().setAutoRead(on);
@@ -100,30 +100,32 @@
             channel.pipeline().addLast(new Admission());
             loop.register(channel);
         }, ended);
-        listenAt(loop, where);
+        listenAt(where);
         where.start();
     }
 
-    private void listenAt(EventLoop loop, Listener where) {
-        proxy.beat().start(loop);
-        listener = where;
-        sockets.listener(where);
+    private void listenAt(Listener where) {
+        proxy.beat().start();
+        listener = new Backlog(proxy.beat(), where);
+        sockets.listener(listener);
     }
 
     private final class Admission extends ChannelInitializer<Channel> {
         @Override
         protected void initChannel(Channel channel) {
+            // Before it counts: it may be the one behind whom the others have to wait.
+            boolean waited = listener.accepted();
             var closing = new Closing(channel, sockets);
             sockets.clientOpened(closing);
             channel.config().setRecvByteBufAllocator(Headers.readingLittle());
             channel.config().setWriteBufferWaterMark(Headers.WATER_MARK);
-            channel.pipeline().addLast(new ClientConnection(Frontend.this, closing));
+            channel.pipeline().addLast(new ClientConnection(Frontend.this, closing, waited));
         }
     }
 
-    /** When the bytes that are read now came, as early as can be told. */
-    long readAt() {
-        return proxy.beat().arrivedAt();
+    /** Tells how late the loop may be with what it reads. */
+    LoopBeat beat() {
+        return proxy.beat();
     }
 
     Terms terms() {
--- a/proxy/src/main/java/walkpost/proxy/LoopBeat.java
+++ b/proxy/src/main/java/walkpost/proxy/LoopBeat.java
@@ -11,18 +11,22 @@
 final class LoopBeat {
     /** How often the loop shows that it runs, and how late that may be before it counts as held up. */
     private static final long BEAT_US = 10_000;
+    /** What waits for a look at the sockets waits so long at least: what was on its way has come by then, too. */
+    private static final long LOOK_US = 1_000;
 
     private final Clock clock;
+    private final EventLoop loop;
     private long beatAt;
     private long heldUpFrom = Long.MAX_VALUE;
 
-    LoopBeat(Clock clock) {
+    LoopBeat(Clock clock, EventLoop loop) {
         this.clock = clock;
+        this.loop = loop;
         this.beatAt = clock.now();
     }
 
     /** Begins to watch the loop. */
-    void start(EventLoop loop) {
+    void start() {
         beatAt = clock.now();
         loop.scheduleWithFixedDelay(this::beat, BEAT_US, BEAT_US, TimeUnit.MICROSECONDS);
     }
@@ -32,6 +36,11 @@
         beatAt = clock.now();
     }
 
+    /** Returns the time on the proxy's clock, in microseconds. */
+    long now() {
+        return clock.now();
+    }
+
     /** Returns when a byte that is read now may have come, in microseconds on the clock: now, unless the loop was held up. */
     long arrivedAt() {
         return Math.min(clock.now(), Math.min(heldUpFrom, overdueFrom()));
@@ -42,6 +51,14 @@
         return heldUpFrom != Long.MAX_VALUE || overdueFrom() != Long.MAX_VALUE;
     }
 
+    /**
+     * Runs it once each socket has been read from, or accepted from, that had something to bring by now. A delay alone is
+     * not enough: a batch of reads that outlasts it is followed by what is due, with no look at the sockets between them.
+     */
+    void afterLook(Runnable then) {
+        loop.execute(() -> loop.schedule(then, LOOK_US, TimeUnit.MICROSECONDS));
+    }
+
     private long overdueFrom() {
         return clock.now() - beatAt > 2 * BEAT_US ? beatAt + BEAT_US : Long.MAX_VALUE;
     }
--- a/proxy/src/main/java/walkpost/proxy/Proxy.java
+++ b/proxy/src/main/java/walkpost/proxy/Proxy.java
@@ -33,6 +33,9 @@
 
         /** Returns whether the client is there and still waits for this answer, as far as has been read. */
         boolean clientThere();
+
+        /** Returns whether the client's end may have come some time ago and still lie unread. */
+        boolean endMayBeUnread();
     }
 
     /**
@@ -74,8 +77,8 @@
 
     /** How long after its deadline a request is answered by the proxy, if the module has not: the module goes first. */
     private static final long SAFETY_US = 2_000;
-    /** After a hold-up an attempt waits so long: whatever is due later than now comes after a look at the sockets. */
-    private static final long LOOK_AGAIN_US = 1_000;
+    /** So often at most are the sockets looked at before an attempt begins: whoever goes on sending is there. */
+    private static final int MOST_LOOKS = 20;
 
     private final Clock clock;
     private final EventLoop loop;
@@ -92,7 +95,7 @@
     Proxy(Clock clock, EventLoop loop, Balancer module, Backends backends) {
         this.clock = clock;
         this.loop = loop;
-        this.beat = new LoopBeat(clock);
+        this.beat = new LoopBeat(clock, loop);
         this.module = module;
         this.backends = backends;
     }
@@ -348,8 +351,8 @@
     }
 
     /**
-     * Where the loop was held up, the client's end may lie unread: the attempt waits until it has been looked for. Nothing
-     * is begun for a client that has gone.
+     * Where the loop was held up, or the client's connection has waited to be read, its end may lie unread: the attempt
+     * waits until that has been looked for. Nothing is begun for a client that has gone.
      */
     private void send(Balancer.Send send) {
         Request r = requests.get(send.id());
@@ -360,7 +363,15 @@
         r.attempts.add(null);
         r.waiting++;
         if (beat.heldUp()) {
-            loop.schedule(() -> begin(r, number, send), LOOK_AGAIN_US, TimeUnit.MICROSECONDS);
+            beat.afterLook(() -> look(r, number, send, MOST_LOOKS - 1));
+        } else {
+            look(r, number, send, MOST_LOOKS);
+        }
+    }
+
+    private void look(Request r, int number, Balancer.Send send, int looks) {
+        if (!r.over && looks > 0 && r.reply.endMayBeUnread()) {
+            beat.afterLook(() -> look(r, number, send, looks - 1));
         } else {
             begin(r, number, send);
         }
--- a/proxy/src/test/java/walkpost/proxy/ClosingTest.java
+++ b/proxy/src/test/java/walkpost/proxy/ClosingTest.java
@@ -3,7 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import walkpost.Balancer.Arrival;
+import walkpost.Balancer.AttemptEnded;
 import walkpost.Balancer.ClientGone;
+import walkpost.Balancer.Outcome;
+import walkpost.Balancer.Send;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
@@ -14,6 +17,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** How connections end, and what may cross it. */
 class ClosingTest {
@@ -108,6 +113,40 @@
         }
     }
 
+    /**
+     * It came while nobody was accepted, and has gone by the time when it is: its end lies unread behind its request, and
+     * all that it has sent behind that, though the loop was never held up.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 100})
+    void whoeverHasGoneBeforeItIsAcceptedIsSentNowhere(int behind) throws Exception {
+        var crowd = new ArrayList<Wire>();
+        try (var backend = new Peer(); var proxy = new Fixture((event, actions) -> {
+            if (event instanceof Arrival a && a.id().equals("gone")) {
+                actions.accept(new Send(a.id(), "s0", 0));
+            }
+        }, 128, 15_000_000, backend)) {
+            // As many as it takes in, none of which can be given up: each waits for its answer.
+            for (int i = 0; i < 20; i++) {
+                crowd.add(proxy.client().send(Fixture.get("r" + i)));
+                proxy.next(Arrival.class);
+            }
+            try (var gone = proxy.client()) {
+                gone.send(Fixture.get("gone") + Fixture.get("behind").repeat(behind));
+            }
+            crowd.get(0).close();
+            assertThat(proxy.next(Arrival.class).id()).isEqualTo("gone");
+            assertThat(proxy.next(ClientGone.class).id()).isEqualTo("gone");
+            AttemptEnded end = proxy.next(AttemptEnded.class);
+            assertThat(end.outcome()).isEqualTo(Outcome.NOT_SENT);
+            assertThat(end.last()).isTrue();
+        } finally {
+            for (Wire client : crowd) {
+                client.close();
+            }
+        }
+    }
+
     /** A client that has sent ahead and gone is seen to be gone, however much stands before its end. */
     @Test
     void theEndBehindRequestsThatWaitIsSeen() throws Exception {
