End idle connections a look after the listener, so that no newcomer is let in and reset between

Cause, ours: with short deadlines both happen in one turn of the loop, and a listener that is closed gives its address up only with the next look at the sockets; a client that came at once was taken into its queue and reset. Change: the last call waits for that look.

--- a/proxy/src/main/java/walkpost/proxy/Serve.java
+++ b/proxy/src/main/java/walkpost/proxy/Serve.java
@@ -279,10 +279,11 @@
                 watchForTheLast();
             }, FRONT_LAG_MS, TimeUnit.MILLISECONDS);
         }
-        loop.schedule(() -> {
+        // A look at the sockets later: a listener that was closed in the same turn still takes newcomers in until then.
+        loop.schedule(() -> proxy.beat().afterLook(() -> {
             frontend.closeAfterAnswers();
             frontend.closeIdle();
-        }, Math.max(endMs - LAST_CALL_MS, FRONT_LAG_MS), TimeUnit.MILLISECONDS);
+        }), Math.max(endMs - LAST_CALL_MS, FRONT_LAG_MS), TimeUnit.MILLISECONDS);
         loop.schedule(frontend::answerNow, endMs - WRITING_MS / 2, TimeUnit.MILLISECONDS);
         try {
             boolean all = drained.await(endMs - GOODBYE_MS, TimeUnit.MILLISECONDS);
