Give slow starts, shares, kinds and the concurrency limit classes of their own

Policy.java held five ideas with 50 fields. The limit asked for every server's warmth at each event; now only while one of them is cold: the mean of ones is one.

--- a/proxy/src/main/java/walkpost/Policy.java
+++ b/proxy/src/main/java/walkpost/Policy.java
@@ -11,7 +11,6 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.stream.Collectors;
 
 /**
  * Decides where one proxy sends its requests. Settings, events and actions are in Balancer.java.
@@ -20,8 +19,6 @@
  * weight = c / sum of c and c = 1 / response time of the backend's kind, as this proxy has seen it.
  */
 public final class Policy implements Balancer {
-    /** Answers that a kind's mean response time remembers: its weight drifts slowly. */
-    private static final int KIND_MEMORY = 1024;
     /** A kind's mean counts as so many of a backend's own answers, of which a refresh keeps a part. */
     private static final double OWN_PRIOR = 4;
     private static final double OWN_KEPT = 0.8;
@@ -33,14 +30,6 @@
     private static final double PART = 3;
     /** A backend's c is never less than this part of the largest. */
     private static final double FLOOR = 0.05;
-    /** Part of the cold budget that is used: requests differ in size and capacity is a guess. */
-    private static final double COLD_MARGIN = 0.4;
-    /** Attempts out may take this part of the shortest aim, by the rate of answers; held ones that again. */
-    private static final double CROWD = 1 / 5.0;
-    /** But never less than this part of the least mean response time, or backends idle and it cannot grow. */
-    private static final double BUSY = 1.2;
-    /** Attempts out for each backend, by all proxies, that are never too many; under 3 it is a mean. */
-    private static final double CROWD_FLOOR = 3;
     /** Further attempts allowed for each request, and how many may be saved up. */
     private static final double RETRY_RATE = 0.2;
     private static final double RETRY_BURST = 10;
@@ -54,7 +43,8 @@
     private final Random random;
     /** By name, dropped ones too: a request of theirs may have been on its way. */
     private final Map<String, RequestClass> classes = new HashMap<>();
-    private final Map<String, Quota> quotas = new HashMap<>();
+    private final Shares shares = new Shares();
+    private final ConcurrencyLimit limit = new ConcurrencyLimit();
     private final Map<String, Long> leastLeft = new HashMap<>();
     private final Map<String, Kind> kinds = new HashMap<>();
     private final Kind all = new Kind();
@@ -70,23 +60,14 @@
     private double retryTokens = RETRY_BURST;
     private long askAt = Long.MIN_VALUE;
     private int failedAsks;
-    private int outstanding;
     private double outWork;
     private double meanCostUs;
     private int costs;
-    private long crowdUs;
     private long longestAimUs;
     private final List<Request> held = new ArrayList<>();
-    private double room;
-    private double spare;
-    private double refused;
-    private long spareAt;
     private long wakeAt = Long.MIN_VALUE;
-    private double answersPerUs;
-    private double borne;
-    private int refreshes;
-    private double idleUs;
-    private long answersAt;
+    /** When all ready backends are warm at the latest. */
+    private long allWarmAt = Long.MIN_VALUE;
     private long now;
     private Consumer<Action> out;
 
@@ -101,64 +82,15 @@
         settings = next;
         rules = next.rules();
         next.classes().forEach(c -> classes.put(c.name(), c));
-        quotas.keySet().retainAll(next.tenants().stream().map(Tenant::name).collect(Collectors.toSet()));
-        next.tenants().forEach(t -> quotas.put(t.name(), new Quota(t, next, quotas.get(t.name()))));
         var aims = next.classes().stream().mapToLong(RequestClass::aimUs).summaryStatistics();
-        crowdUs = (long) (CROWD * aims.getMin());
         longestAimUs = aims.getMax();
         refreshUs = 2 * longestAimUs;
+        shares.tune(next, refreshUs);
+        limit.tune(next.balancers(), aims.getMin(), refreshUs);
         // What first tries are left tells of the deadlines that were.
         leastLeft.clear();
     }
 
-    /** The answers of one kind of machine. */
-    private static final class Kind {
-        private double meanUs;
-        private int samples;
-        private int costs;
-        private double meanCost;
-        private double meanTook;
-        private double variance;
-        private double covariance;
-        private long learnedAt;
-
-        void learn(double latencyUs) {
-            samples = Math.min(samples + 1, KIND_MEMORY);
-            meanUs += (latencyUs - meanUs) / samples;
-        }
-
-        /** What an answer took, against what it was guessed to cost: the rest is waiting, whatever the cost. */
-        void learn(double latencyUs, double costUs, long now) {
-            learnedAt = now;
-            costs = Math.min(costs + 1, KIND_MEMORY);
-            double offCost = costUs - meanCost;
-            double offTook = latencyUs - meanTook;
-            meanCost += offCost / costs;
-            meanTook += offTook / costs;
-            variance += (offCost * (costUs - meanCost) - variance) / costs;
-            covariance += (offTook * (costUs - meanCost) - covariance) / costs;
-        }
-
-        /** Returns what a unit of cost takes here, 0 while that is not known, or no longer. */
-        double perCost(long now, long forgetUs) {
-            return costs < KIND_MEMORY / 32 || variance <= 0 || now - learnedAt > forgetUs ? 0
-                    : Math.max(0, Math.min(covariance / variance, meanTook / meanCost));
-        }
-    }
-
-    /** What a tenant may still send through this proxy as part of its share. */
-    private static final class Quota {
-        private final double perUs;
-        private double left;
-        private long at;
-
-        Quota(Tenant tenant, Settings settings, Quota before) {
-            this.perUs = tenant.quotaPerS() / 1e6 / settings.balancers();
-            this.left = before == null ? 0 : before.left;
-            this.at = before == null ? 0 : before.at;
-        }
-    }
-
     /** A backend that this proxy may send to. */
     private static final class Server {
         private final String id;
@@ -170,12 +102,10 @@
         private double outWork;
         private double ownUs;
         private double ownSamples;
-        private double coldTokens;
+        private final SlowStart start = new SlowStart();
         private final Trust whole = new Trust();
         private final FlowTrusts flows;
         private boolean ready;
-        private long startedAt;
-        private long coldTokensAt;
 
         Server(String id, PutOff putOff) {
             this.id = id;
@@ -245,10 +175,7 @@
     @Override
     public void handle(long nowUs, Event event, Consumer<Action> actions) {
         now = nowUs;
-        room = crowd();
-        // One of hundreds of proxies may have less than one attempt out: in the mean of a time.
-        spare = Math.min(room * refreshUs, spare + (room - outstanding) * (now - spareAt));
-        spareAt = now;
+        limit.set(now, servers.size(), warmPart());
         out = actions;
         if (askAt == Long.MIN_VALUE) {
             ask();
@@ -308,12 +235,10 @@
             Server s = byId.computeIfAbsent(b.id(), id -> new Server(id, putOff));
             if (s.listed == null || b.startedAtUs() != s.listed.startedAtUs()) {
                 s.ownUs = s.ownSamples = 0;
-                // Of hundreds of proxies each may send it less than one request: so some send theirs.
-                s.coldTokens = random.nextDouble();
-                s.coldTokensAt = now;
+                s.start.begin(random.nextDouble(), now);
             }
             s.listed = b;
-            s.startedAt = Math.max(b.startedAtUs(), includedAt.getOrDefault(b.id(), 0L));
+            s.start.startedAt(Math.max(b.startedAtUs(), includedAt.getOrDefault(b.id(), 0L)));
             s.near = settings.zone().equals(b.zone()) ? NEAR : 1;
             s.kind = kinds.computeIfAbsent(String.valueOf(b.kind()), name -> new Kind());
             s.ready = b.state() == State.READY && !excluded.contains(b.id());
@@ -366,7 +291,7 @@
     private void order() {
         int rounds = Math.max(1, settings.balancers() / Math.max(1, servers.size()));
         int shuffle = mix(settings.rank() % rounds);
-        servers.sort(Comparator.comparing((Server s) -> mix(s.id.hashCode() ^ shuffle)));
+        servers.sort(Comparator.comparingInt(s -> mix(s.id.hashCode() ^ shuffle)));
         double at = (settings.rank() / rounds) * (double) rounds / settings.balancers();
         int first = 0;
         while (first < servers.size() - 1 && at > servers.get(first).weight - 1e-9) {
@@ -377,28 +302,21 @@
 
     /** Guards against backends hung, dead, slow or ill for some requests only, whatever the cause. */
     private boolean trusted(Server s, Request r) {
-        long silenceUs = (long) Math.max(2 * crowdUs, s.kind.meanUs);
+        long silenceUs = (long) Math.max(2 * limit.targetUs(), s.kind.meanUs());
         return s.whole.holds(now, silenceUs) && s.flows.hold(r.flow, now, silenceUs);
     }
 
-    /** Returns the part of its capacity that a backend is sure to have: 1 once it is warm. */
-    private double warmth(Server s) {
-        if (s.startedAt <= 0 || now - s.startedAt >= rules.coldUs()) {
-            return 1;
-        }
-        return rules.coldFrom() + (1 - rules.coldFrom()) * Math.max(0, now - s.startedAt) / rules.coldUs();
-    }
-
     // Weights
 
     /** Sets w = c / sum of c and starts the earliest-deadline order afresh, once in twice the longest aim. */
     private void refresh() {
         refreshAt = now + refreshUs;
         includedAt.values().removeIf(at -> now - at >= rules.coldUs());
+        allWarmAt = servers.stream().mapToLong(s -> s.start.warmAt(rules)).max().orElse(Long.MIN_VALUE);
         // A kind without answers yet goes by its list weight, in the unit of the kinds that have some.
-        double scale = servers.stream().filter(s -> s.kind.samples > 0)
-                .mapToDouble(s -> 1 / (s.kind.meanUs * s.listed.weight())).average().orElse(1);
-        servers.forEach(s -> s.weight = s.kind.samples > 0 ? 1 / responseUs(s) : s.listed.weight() * scale);
+        double scale = servers.stream().filter(s -> s.kind.seen())
+                .mapToDouble(s -> 1 / (s.kind.meanUs() * s.listed.weight())).average().orElse(1);
+        servers.forEach(s -> s.weight = s.kind.seen() ? 1 / responseUs(s) : s.listed.weight() * scale);
         double floor = FLOOR * servers.stream().mapToDouble(s -> s.weight).max().orElse(1);
         double sum = servers.stream().mapToDouble(s -> Math.max(s.weight, floor)).sum();
         for (Server s : servers) {
@@ -418,7 +336,7 @@
 
     /** The response time of a backend: its kind's mean, drawn to its own by the number of its own answers. */
     private double responseUs(Server s) {
-        return (OWN_PRIOR * s.kind.meanUs + s.ownUs) / (OWN_PRIOR + s.ownSamples);
+        return (OWN_PRIOR * s.kind.meanUs() + s.ownUs) / (OWN_PRIOR + s.ownSamples);
     }
 
     // Pick
@@ -429,17 +347,12 @@
             throw new IllegalArgumentException("request of a class not in the settings: " + a.requestClass());
         }
         if (now >= refreshAt) {
-            // Slowly: the answers of backends that have just left the list tell nothing of those that stay.
-            double mean = all.samples < KIND_MEMORY / 32 ? 0 : all.meanUs;
-            idleUs = idleUs == 0 ? mean : Math.min(idleUs, mean);
-            double bears = answerRate() / Math.max(1, servers.size());
-            borne += (bears - borne) * Math.max(1.0 / ++refreshes, 1 - OWN_KEPT);
+            limit.refresh(all.settled() ? all.meanUs() : 0, servers.size());
             refresh();
         }
         retryTokens = Math.min(RETRY_BURST, retryTokens + RETRY_RATE);
-        Quota quota = quotas.get(a.tenant());
-        String flow = type.name() + '\n' + (quota == null ? "" : a.tenant());
-        double worth = overShare(quota, a.repeat()) ? settings.overShareWorth() : 1;
+        String flow = type.name() + '\n' + (shares.entitles(a.tenant()) ? a.tenant() : "");
+        double worth = shares.over(a.tenant(), a.repeat(), now) ? settings.overShareWorth() : 1;
         // A repeat that is left less than first tries get began so long ago: past its aim, it ranks as late.
         long least = leastLeft.merge(type.name(), a.repeat() ? Long.MAX_VALUE : a.leftUs(), Math::min);
         long began = a.leftUs() < least ? now + a.leftUs() - type.deadlineUs() : now;
@@ -456,7 +369,7 @@
         double earliest = Double.POSITIVE_INFINITY;
         int balance = 0;
         // Far busier than others, a proxy takes a larger part: a backend for each attempt out in the mean.
-        double left = Math.max(PART * servers.size() / settings.balancers(), answerRate() * idleUs);
+        double left = Math.max(PART * servers.size() / settings.balancers(), limit.busy());
         for (Server s : servers) {
             if (!effectAllows(s, r) || !inTime(s, r)) {
                 continue;
@@ -468,11 +381,11 @@
             deadline *= trust ? 1 : 1e18;
             // Few have a cold backend in their part: it would get nothing of what the rest may send it.
             boolean open = !trust || left > 0 || warmth(s) < 1;
-            if (open && deadline < earliest && hasRoom(s, r) && coldBudget(s) >= 1) {
+            if (open && deadline < earliest && hasRoom(s, r) && mayStart(s)) {
                 best = s;
                 earliest = deadline;
             }
-            boolean sound = s.kind.samples == 0 || responseUs(s) < 4 * s.kind.meanUs;
+            boolean sound = !s.kind.seen() || responseUs(s) < 4 * s.kind.meanUs();
             left -= settings.balancers() > PART && trust && sound && warmth(s) >= 1 ? 1 : 0;
         }
         // If nearly all look ill, it is this proxy that is cut off, or the load: then all are tried on.
@@ -486,7 +399,7 @@
     private boolean inTime(Server s, Request r) {
         double workUs = workUs(s, r);
         return workUs == 0 || now >= r.aimAt
-                || now + workUs * Math.max(1, responseUs(s) / s.kind.meanUs) <= r.aimAt;
+                || now + workUs * Math.max(1, responseUs(s) / s.kind.meanUs()) <= r.aimAt;
     }
 
     /** What a request takes of a backend of that kind which does nothing else; 0 where that is not known. */
@@ -511,7 +424,7 @@
         if (a.costUs() <= 0) {
             return 1;
         }
-        costs = Math.min(costs + 1, KIND_MEMORY);
+        costs = Math.min(costs + 1, Kind.MEMORY);
         meanCostUs += (a.costUs() - meanCostUs) / costs;
         return a.costUs() / meanCostUs;
     }
@@ -545,55 +458,29 @@
         };
     }
 
-    /**
-     * Rule 4: what a cold backend may still be sent, in requests. A quarter of this proxy's part of the
-     * budget may come at once and the rest in the course of each window: no window holds more than the whole.
-     * The capacity is a guess: what backends of its weight bear by our answers, or one request at a time.
-     *
-     * <p>Where a part is less than one request, proxies take turns, by when each began to save. A turn that was not
-     * used is over after a window and the next comes in its time: if all saved up, after a lull all would send at once.
-     */
-    private double coldBudget(Server s) {
-        double warmth = warmth(s);
-        if (warmth >= 1) {
-            return Double.POSITIVE_INFINITY;
-        }
-        double requestUs = s.kind.samples > 0 ? s.kind.meanUs : longestAimUs;
-        double perUs = Math.max(1 / (requestUs * settings.balancers()), borne * s.weight * servers.size());
-        double budgetPerUs = COLD_MARGIN * rules.fallMultiple() * warmth * perUs;
-        double budget = budgetPerUs * rules.fallUs();
-        double atOnce = Math.max(budget / 4, Math.min(1, 0.75 * budget));
-        s.coldTokens += 0.75 * budgetPerUs * (now - s.coldTokensAt);
-        s.coldTokens -= Math.max(0, Math.ceil(s.coldTokens - atOnce - 1));
-        s.coldTokensAt = now;
-        return s.coldTokens;
-    }
-
-    /** What may be out: what is answered in crowdUs, what keeps backends busy, or a floor by their cores. */
-    private double crowd() {
-        double byRate = answerRate() * Math.max(crowdUs, BUSY * idleUs);
-        // With less than a backend to itself, a proxy tells a crowd from bad luck by how much it refuses.
-        double share = servers.size() / (double) settings.balancers();
-        double cores = Math.min(CROWD_FLOOR, Math.max(1, borne * settings.balancers() * idleUs));
-        // Cold backends can't take their part of a crowd: counted in full, it would all go to the warm ones.
-        double warm = servers.stream().mapToDouble(s -> Math.max(1 / CROWD_FLOOR, warmth(s))).average().orElse(1);
-        return Math.max(byRate, warm * share * (CROWD_FLOOR + (share < 1 ? cores * (1 - refused) - refused : 0)));
+    private double warmth(Server s) {
+        return s.start.warmth(now, rules);
     }
 
-    private double answerRate() {
-        return answersPerUs * Math.exp((answersAt - now) / (double) refreshUs);
+    /** What a warm fleet's concurrency is multiplied by: 1 where none is cold, as nearly always. */
+    private double warmPart() {
+        return now >= allWarmAt ? 1
+                : servers.stream().mapToDouble(s -> ConcurrencyLimit.part(warmth(s))).average().orElse(1);
     }
 
-    /** Whether one more may be out: the limit's whole part always, the rest as it was left unused. */
-    private boolean mayGo(Request r) {
-        // Dearer ones may overdraw: a proxy of hundreds never holds enough requests to order them by worth.
-        return outstanding < Math.max(room, CROWD_FLOOR)
-                && (outstanding + 1 <= room || spare >= -r.cheaper * room * refreshUs);
+    /** Rule 4. A backend's capacity is a guess: what those of its weight bear by our answers, or one request at a time. */
+    private boolean mayStart(Server s) {
+        if (warmth(s) >= 1) {
+            return true;
+        }
+        double requestUs = s.kind.seen() ? s.kind.meanUs() : longestAimUs;
+        double perUs = Math.max(1 / (requestUs * settings.balancers()), limit.borne() * s.weight * servers.size());
+        return s.start.allowance(now, rules, perUs) >= 1;
     }
 
     private void send(Request r, Server s) {
         s.currentTime += 1;
-        s.coldTokens -= 1;
+        s.start.sent();
         r.out++;
         // A slow answer is worth waiting for, but not long past its aim: silence takes up the room of others.
         long cutUs = now < r.aimAt ? (long) (LATE * (r.aimAt - now)) : Long.MAX_VALUE;
@@ -635,7 +522,7 @@
         a.server.flows.sent(a.request.flow, now);
         a.server.outWork += a.request.size;
         outWork += a.request.size;
-        outstanding++;
+        limit.sent();
     }
 
     private void rests(Attempt a, boolean heard) {
@@ -645,7 +532,7 @@
             a.server.flows.ended(a.request.flow, now, heard);
             a.server.outWork -= a.request.size;
             outWork -= a.request.size;
-            outstanding--;
+            limit.ended();
         }
     }
 
@@ -693,9 +580,7 @@
             if (r.costUs > 0) {
                 a.server.kind.learn(latencyUs, r.costUs, now);
             }
-            answersPerUs = answerRate() + 1.0 / refreshUs;
-            answersAt = now;
-            refused -= refused / 16;
+            limit.answered();
         }
     }
 
@@ -730,24 +615,10 @@
 
     // Refusal
 
-    /** Returns whether a tenant is past this proxy's part of its share; a repeat was counted before. */
-    private boolean overShare(Quota quota, boolean repeat) {
-        if (quota == null) {
-            return false;
-        }
-        quota.left = Math.min(quota.perUs * refreshUs, quota.left + quota.perUs * (now - quota.at));
-        quota.at = now;
-        if (quota.left < 1) {
-            return true;
-        }
-        quota.left -= repeat ? 0 : 1;
-        return false;
-    }
-
     /** Queues a request, to be sent in this round if there is room: highest worth, then earliest aim. */
     private void hold(Request r) {
-        // Sent at the last moment, it is to be answered in time: twice a crowd's time ahead.
-        r.giveUpAt = Math.min(r.aimAt - 2 * crowdUs, r.deadline - 2 * settings.tickUs());
+        // Sent at the last moment, it is to be answered in time: twice the limit's time ahead.
+        r.giveUpAt = Math.min(r.aimAt - 2 * limit.targetUs(), r.deadline - 2 * settings.tickUs());
         r.cheaper = 1.0 * settings.classes().stream().filter(c -> c.worth() < r.worth).count()
                 / settings.classes().size();
         r.home = r.key == null ? null : home(r.key);
@@ -764,7 +635,7 @@
             return;
         }
         // A key away from its home costs its full work: in a crowd, the very room that is missing.
-        for (int i = 0; i < held.size() && held.get(i).worth == held.get(0).worth && mayGo(held.get(i));) {
+        for (int i = 0; i < held.size() && held.get(i).worth == held.get(0).worth && limit.allowsOneMore(held.get(i).cheaper);) {
             Request r = held.get(i);
             if (r.home != null && pick(r) == r.home) {
                 held.remove(i);
@@ -773,7 +644,7 @@
                 i++;
             }
         }
-        for (int i = 0; i < held.size() && mayGo(held.get(i));) {
+        for (int i = 0; i < held.size() && limit.allowsOneMore(held.get(i).cheaper);) {
             Request r = held.get(i);
             Server s = pick(r);
             if (s != null) {
@@ -788,7 +659,7 @@
         }
         for (int i = held.size() - 1; i >= 0; i--) {
             Request r = held.get(i);
-            if (r.giveUpAt <= now || servers.stream().noneMatch(s -> inTime(s, r)) || i >= Math.max(room, 1)) {
+            if (r.giveUpAt <= now || servers.stream().noneMatch(s -> inTime(s, r)) || i >= Math.max(limit.most(), 1)) {
                 held.remove(i);
                 finish(r);
             }
@@ -796,14 +667,14 @@
         // Rule 1: whatever is held has a timer ahead of its deadline; sooner, as time brings room too.
         long next = held.stream().mapToLong(r -> r.giveUpAt).min().orElse(Long.MAX_VALUE);
         if (!held.isEmpty() && (now >= wakeAt || next < wakeAt)) {
-            wakeAt = Math.min(now + crowdUs / 4, next);
+            wakeAt = Math.min(now + limit.targetUs() / 4, next);
             out.accept(new SetTimer(wakeAt, "held"));
         }
     }
 
     /** Gives the final answer: a refusal where a repeat is harmless, else a failure. */
     private void finish(Request r) {
-        refused += (1 - refused) / 16;
+        limit.refused();
         boolean harmless = r.type.effect() == Effect.SAFE
                 || r.type.effect() == Effect.KEYED && r.type.scope() == Scope.ALL
                 || r.attempts.stream().noneMatch(this::mayHaveRun);
@@ -813,9 +684,9 @@
 
     /** When there may be room: what is held now has been answered by then. Not in step with the others refused. */
     private long comeBackUs(Request r) {
-        double heldUs = servers.isEmpty() ? refreshUs : held.size() / Math.max(answerRate(), 1.0 / refreshUs);
+        double heldUs = servers.isEmpty() ? refreshUs : held.size() / Math.max(limit.answerRate(), 1.0 / refreshUs);
         double spread = 1 - (mix(r.id.hashCode()) >>> 16) / 262_144.0;
-        return (long) (spread * Math.min(Math.max(crowdUs, heldUs), settings.limits().maxRetryAfterUs()));
+        return (long) (spread * Math.min(Math.max(limit.targetUs(), heldUs), settings.limits().maxRetryAfterUs()));
     }
 
     // Timers
