--- a/proxy/src/main/java/walkpost/Policy.java
+++ b/proxy/src/main/java/walkpost/Policy.java
@@ -241,8 +241,11 @@
             s.start.startedAt(Math.max(b.startedAtUs(), includedAt.getOrDefault(b.id(), 0L)));
             s.near = settings.zone().equals(b.zone()) ? NEAR : 1;
             s.kind = kinds.computeIfAbsent(String.valueOf(b.kind()), name -> new Kind());
+            if (s.ready) {
+                // Only those that are there: to look in vain for each entry of a whole list takes their number squared.
+                servers.remove(s);
+            }
             s.ready = b.state() == State.READY && !excluded.contains(b.id());
-            servers.remove(s);
             if (s.ready) {
                 servers.add(s);
             } else if (b.state() == State.READY) {
@@ -306,6 +309,11 @@
         return s.whole.holds(now, silenceUs) && s.flows.hold(r.flow, now, silenceUs);
     }
 
+    /** Returns how many flows at servers this keeps in mind: it grows with what is in use and not with tenants times servers. */
+    int flowsKept() {
+        return byId.values().stream().mapToInt(s -> s.flows.size()).sum();
+    }
+
     // Weights
 
     /** Sets w = c / sum of c and starts the earliest-deadline order afresh, once in twice the longest aim. */
--- /dev/null
+++ b/proxy/src/test/java/walkpost/slope/ModuleSlope.java
@@ -0,0 +1,133 @@
+package walkpost.slope;
+
+import walkpost.Balancer.Backend;
+import walkpost.Balancer.ListKind;
+import walkpost.Balancer.Outcome;
+import walkpost.Balancer.Retuned;
+import walkpost.Balancer.State;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * What the decision module takes by servers, tenants, classes and list changes. A probe, not a test:
+ * {@code docs/capacity-module.md} has the command and what it gave.
+ */
+public final class ModuleSlope {
+    private ModuleSlope() { }
+
+    /** Plays the slope that is named: servers, tenants, classes, changes, failing or size. */
+    public static void main(String[] args) {
+        // So that no size pays for the compiler's work.
+        point(200, 1, 200, true);
+        point(200, 1, 200, true);
+        switch (args[0]) {
+            case "servers" -> {
+                for (int servers : new int[] {33, 100, 400, 1_600, 6_200}) {
+                    point(servers, 1, 1_000, false);
+                }
+            }
+            case "tenants" -> {
+                for (int tenants : new int[] {240, 1_000, 6_000, 24_000}) {
+                    point(400, 1, tenants, false);
+                }
+            }
+            case "classes" -> {
+                for (int classes : new int[] {1, 3, 10, 30}) {
+                    point(400, classes, 1_000, false);
+                }
+            }
+            case "changes" -> {
+                for (int changed : new int[] {1, 10, 100, 620, 6_200}) {
+                    changes(6_200, changed);
+                }
+                replaced(6_200, 20, 620);
+            }
+            case "failing" -> {
+                for (int servers : new int[] {33, 400, 1_600, 6_200}) {
+                    failing(servers, 24_000);
+                }
+            }
+            case "size" -> point(6_200, 1, 24_000, false);
+            default -> throw new IllegalArgumentException("no slope " + args[0]);
+        }
+    }
+
+    private static void point(int servers, int classes, int tenants, boolean quiet) {
+        try {
+            var held = new ModuleDrive[1];
+            String figures = played(servers, classes, tenants, held);
+            long with = ModuleDrive.usedBytes();
+            held[0] = null;
+            long heap = with - ModuleDrive.usedBytes();
+            if (!quiet) {
+                System.out.printf("servers %5d  classes %2d  tenants %5d  %s  heap %.2f MB (%.1f B a pair)%n", servers, classes,
+                        tenants, figures, heap / 1e6, heap / (double) servers / tenants / classes);
+            }
+        } catch (OutOfMemoryError e) {
+            System.out.printf("servers %5d  classes %2d  tenants %5d  does not fit in %d MB of heap%n", servers, classes, tenants,
+                    Runtime.getRuntime().maxMemory() >> 20);
+        }
+    }
+
+    /** Its heap is that of the module with its settings and its list, which {@code held} alone holds on to. */
+    private static String played(int servers, int classes, int tenants, ModuleDrive[] held) {
+        var settings = ModuleDrive.settings(ModuleDrive.PROXIES, 17, classes, tenants);
+        List<Backend> list = ModuleDrive.servers(servers);
+        var drive = new ModuleDrive(settings);
+        held[0] = drive;
+        long from = System.nanoTime();
+        drive.list(ListKind.FULL, list);
+        double firstMs = (System.nanoTime() - from) / 1e6;
+        double listMs = ModuleDrive.medianMs(() -> drive.list(ListKind.FULL, list));
+        drive.once(classes, tenants, 92);
+        long[] took = drive.steady(2_000, classes, tenants);
+        double reloadMs = ModuleDrive.medianMs(() -> drive.feed(new Retuned(settings)));
+        return String.format("list first %.1f ms again %.1f ms  request p50 %.1f us p99 %.1f us max %.0f us  reload %.2f ms", firstMs,
+                listMs, ModuleDrive.quantileUs(took, 0.5), ModuleDrive.quantileUs(took, 0.99), ModuleDrive.quantileUs(took, 1),
+                reloadMs);
+    }
+
+    private static void changes(int servers, int changed) {
+        var drive = new ModuleDrive(ModuleDrive.settings(ModuleDrive.PROXIES, 17, 1, 0));
+        List<Backend> list = ModuleDrive.servers(servers);
+        drive.list(ListKind.FULL, list);
+        double ms = ModuleDrive.medianMs(() -> drive.list(ListKind.DELTA, list.subList(0, changed)));
+        System.out.printf("servers %5d  changed %5d  %.2f ms  %.2f us a change%n", servers, changed, ms, 1e3 * ms / changed);
+    }
+
+    /** Machines that go for good and others that come, told as changes: what is left of those that went. */
+    private static void replaced(int servers, int rounds, int each) {
+        var drive = new ModuleDrive(ModuleDrive.settings(ModuleDrive.PROXIES, 17, 1, 0));
+        var list = new ArrayList<>(ModuleDrive.servers(servers));
+        drive.list(ListKind.FULL, list);
+        long before = ModuleDrive.usedBytes();
+        for (int round = 0; round < rounds; round++) {
+            for (int i = 0; i < each; i++) {
+                int at = (round * each + i) % servers;
+                Backend gone = list.get(at);
+                list.set(at, ModuleDrive.ready("n-" + round + "-" + i, 0));
+                drive.list(ListKind.DELTA, List.of(new Backend(gone.id(), State.GONE, null, null, 0, 0, 1), list.get(at)));
+            }
+            System.out.printf("replaced %5d of %d, as changes  heap +%.2f MB%n", (round + 1) * each, servers,
+                    (ModuleDrive.usedBytes() - before) / 1e6);
+        }
+        drive.list(ListKind.FULL, list);
+        System.out.printf("then a whole list  heap +%.2f MB%n", (ModuleDrive.usedBytes() - before) / 1e6);
+    }
+
+    /** All answers are errors: what is kept of flows that failed, request by request. */
+    private static void failing(int servers, int tenants) {
+        var drive = new ModuleDrive(ModuleDrive.settings(ModuleDrive.PROXIES, 17, 1, tenants));
+        drive.list(ListKind.FULL, ModuleDrive.servers(servers));
+        drive.steady(100, 1, tenants);
+        long before = ModuleDrive.usedBytes();
+        for (int i = 0; i < 60_000; i++) {
+            if (i % 15_000 == 0) {
+                System.out.printf("servers %5d  tenants %d  errors %5d  heap +%.2f MB%n", servers, tenants, i,
+                        (ModuleDrive.usedBytes() - before) / 1e6);
+            }
+            drive.request(0, i, Outcome.ERROR);
+            drive.now += 1;
+        }
+    }
+}
