Read a new configuration beside the loop

It is read by the thread of the signal now, one reload after the other, and only taken over on the loop. What is missing in it is judged there, against the configuration that holds by then. RetuneTest, ConfigTest and DiscoveryTest pass unchanged.

--- a/proxy/src/main/java/walkpost/proxy/Config.java
+++ b/proxy/src/main/java/walkpost/proxy/Config.java
@@ -86,12 +86,11 @@
     }
 
     /**
-     * Reads the configuration that is to take this one's place.
+     * Returns the configuration that is to take this one's place.
      *
-     * @throws BadConfig also where it lacks what this one has: it was cut short, and to go by the rest would be a guess
+     * @throws BadConfig if it lacks what this one has: it was cut short, and to go by the rest would be a guess
      */
-    Config next(Path file) throws BadConfig {
-        Config next = read(file);
+    Config next(Config next) throws BadConfig {
         for (String key : keys) {
             if (!next.keys.contains(key)) {
                 throw new BadConfig("'" + key + "': missing, though it was there before");
--- a/proxy/src/main/java/walkpost/proxy/Serve.java
+++ b/proxy/src/main/java/walkpost/proxy/Serve.java
@@ -236,23 +236,37 @@
         return (InetSocketAddress) bound.channel().localAddress();
     }
 
-    /** Takes over what may change while the proxy runs: the settings, and where discovery is. A bad file changes nothing. */
-    void reconfigure(Path file) {
-        loop.execute(() -> {
-            try {
-                Config next = config.next(file);
-                config = next;
-                frontend.tune(next.settings());
-                backends.tune(next.connIdleUs(), next.connectTimeoutUs());
-                discovery.tune(next.settings());
-                proxy.retuned(next.settings());
-                discovery.moveTo(next.discovery());
-                log.info("configuration_taken_over", "proxy", next.name(), "discovery", next.discovery(), "classes",
-                        next.settings().classes().stream().map(Balancer.RequestClass::name).toList());
-            } catch (Config.BadConfig e) {
-                log.warn("bad_configuration", "proxy", config.name(), "holding", "the old one", "reason", e.getMessage());
-            }
-        });
+    /**
+     * Takes over what may change while the proxy runs: the settings, and where discovery is. A bad file changes nothing. The file is
+     * read where this is called, not on the loop: with thousands of tenants that takes longer than a request may wait.
+     */
+    synchronized void reconfigure(Path file) {
+        try {
+            Config next = Config.read(file);
+            loop.execute(() -> takeOver(next));
+        } catch (Config.BadConfig e) {
+            loop.execute(() -> keepOld(e));
+        }
+    }
+
+    private void takeOver(Config read) {
+        try {
+            Config next = config.next(read);
+            config = next;
+            frontend.tune(next.settings());
+            backends.tune(next.connIdleUs(), next.connectTimeoutUs());
+            discovery.tune(next.settings());
+            proxy.retuned(next.settings());
+            discovery.moveTo(next.discovery());
+            log.info("configuration_taken_over", "proxy", next.name(), "discovery", next.discovery(), "classes",
+                    next.settings().classes().stream().map(Balancer.RequestClass::name).toList());
+        } catch (Config.BadConfig e) {
+            keepOld(e);
+        }
+    }
+
+    private void keepOld(Config.BadConfig e) {
+        log.warn("bad_configuration", "proxy", config.name(), "holding", "the old one", "reason", e.getMessage());
     }
 
     /**
