--- /dev/null
+++ b/proxy/src/test/java/walkpost/proxy/DiscoverySlope.java
@@ -0,0 +1,175 @@
+package walkpost.proxy;
+
+import walkpost.Policy;
+import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.io.IOException;
+import java.lang.management.BufferPoolMXBean;
+import java.lang.management.ManagementFactory;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.concurrent.Callable;
+
+/**
+ * What the list of servers, its changes, and the configuration take, in bytes, on the loop and in memory. A probe, not a test:
+ * {@code docs/capacity-module.md} has the command and what it gave.
+ */
+public final class DiscoverySlope {
+    private static final String ENTRY = "{\"id\":\"s-%08x\",\"addr\":\"10.%d.%d.%d:8080\",\"zone\":\"a\",\"kind\":\"m2\",\"cell\":3,"
+            + "\"state\":\"%s\",\"weight\":1.0,\"started_ms\":1796000000000}";
+
+    private final EmbeddedChannel channel = new EmbeddedChannel();
+    private final Backends backends = new Backends(new Clock(), channel.eventLoop(), EmbeddedChannel.class, new Sockets(1_024),
+            new Buffers(Long.MAX_VALUE), 15_000_000, 200_000);
+    private ListRequest.Hearer hearer;
+
+    private DiscoverySlope() throws Config.BadConfig, IOException {
+        channel.freezeTime();
+        Config config = Config.parse(Config.JSON.readTree(config(1)));
+        var proxy = new Proxy(new Clock(), channel.eventLoop(), new Policy(config.settings()), backends);
+        var discovery = new Discovery(channel.eventLoop(), proxy, new InetSocketAddress("127.0.0.1", 9), config.settings(),
+                (to, uri, connectMs, hears) -> {
+                    hearer = hears;
+                    return () -> { };
+                });
+        discovery.known(null);
+    }
+
+    /** Plays the slope that is named: list, changes or config. */
+    public static void main(String[] args) throws Exception {
+        for (int i = 0; i < 30; i++) {
+            list(200, 0, true);
+        }
+        switch (args[0]) {
+            case "list" -> {
+                for (int servers : new int[] {33, 100, 400, 1_600, 6_200}) {
+                    list(servers, 0, false);
+                }
+            }
+            case "changes" -> {
+                for (int replaced : new int[] {1, 10, 62, 620, 3_100}) {
+                    list(6_200, replaced, false);
+                }
+            }
+            case "config" -> {
+                for (int tenants : new int[] {240, 1_000, 6_000, 24_000, 24_000}) {
+                    config(tenants, false);
+                }
+            }
+            default -> throw new IllegalArgumentException("no slope " + args[0]);
+        }
+    }
+
+    private static void list(int servers, int replaced, boolean quiet) throws Exception {
+        var held = new DiscoverySlope[] {new DiscoverySlope()};
+        byte[] whole = whole(servers, "ready", 0);
+        double parseMs = medianMs(() -> Config.JSON.readTree(whole));
+        JsonNode list = Config.JSON.readTree(whole);
+        long treeFrom = used();
+        JsonNode[] trees = {Config.JSON.readTree(whole)};
+        long tree = used() - treeFrom;
+        trees[0] = null;
+        long before = used();
+        long directs = direct().getCount();
+        long from = System.nanoTime();
+        held[0].hearer.brought(list);
+        double firstMs = (System.nanoTime() - from) / 1e6;
+        long heap = used() - before;
+        directs = direct().getCount() - directs;
+        if (quiet) {
+            return;
+        }
+        if (replaced == 0) {
+            System.out.printf("servers %5d  list %.3f MB  parse %.1f ms  taken in %.1f ms  tree %.2f MB  endpoints and module %.2f MB (%d B a"
+                    + " server)  direct buffers %d  ready %d%n", servers, whole.length / 1e6, parseMs, firstMs, tree / 1e6, heap / 1e6,
+                    heap / servers, directs, held[0].backends.ready());
+            return;
+        }
+        byte[] changes = changes(replaced);
+        double changesParseMs = medianMs(() -> Config.JSON.readTree(changes));
+        from = System.nanoTime();
+        held[0].hearer.brought(Config.JSON.readTree(changes));
+        System.out.printf("servers %5d  replaced %4d  changes %.4f MB  parse %.2f ms  parsed and taken in %.2f ms  ready %d%n", servers,
+                replaced, changes.length / 1e6, changesParseMs, (System.nanoTime() - from) / 1e6, held[0].backends.ready());
+    }
+
+    private static byte[] whole(int servers, String state, int first) {
+        return bytes("{\"version\":41,\"full\":true,\"servers\":[" + entries(servers, state, first) + "]}");
+    }
+
+    /** Each machine that is replaced goes by one entry, and the one in its place comes by another. */
+    private static byte[] changes(int replaced) {
+        return bytes("{\"version\":42,\"full\":false,\"servers\":[" + entries(replaced, "gone", 0) + ','
+                + entries(replaced, "ready", 1_000_000) + "]}");
+    }
+
+    private static String entries(int count, String state, int first) {
+        var text = new StringBuilder();
+        for (int i = first; i < first + count; i++) {
+            text.append(i == first ? "" : ",").append(String.format(ENTRY, i * 0x9E3779B1, i >> 16 & 255, i >> 8 & 255, i & 255, state));
+        }
+        return text.toString();
+    }
+
+    private static void config(int tenants, boolean quiet) throws Exception {
+        byte[] text = config(tenants);
+        long allocated = allocated();
+        long from = System.nanoTime();
+        Config.parse(Config.JSON.readTree(text));
+        double firstMs = (System.nanoTime() - from) / 1e6;
+        allocated = allocated() - allocated;
+        double ms = medianMs(() -> Config.parse(Config.JSON.readTree(text)));
+        if (!quiet) {
+            System.out.printf("tenants %5d  configuration %.3f MB  read first %.1f ms again %.1f ms  allocates %.1f MB%n", tenants,
+                    text.length / 1e6, firstMs, ms, allocated / 1e6);
+        }
+    }
+
+    private static byte[] config(int tenants) {
+        var projects = new StringBuilder();
+        for (int i = 0; i < tenants; i++) {
+            projects.append(i == 0 ? "" : ",").append("{\"name\":\"tenant-").append(i).append("\",\"allowance_per_s\":2.25}");
+        }
+        return bytes("""
+                {"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"7","limits":{"cores":1.0,"memory_mb":256,"sockets":1024},
+                 "settings":{"balancers":590,"rank":17,"locality":"a","quantum_us":1000,"registry_mode":"pushed",
+                  "bounds":{"cancel":true,"may_duplicate":false,"probes":false,"most_tries":4,"max_retry_after_us":2000000,
+                   "conn_idle_us":15000000,"connect_timeout_us":200000},
+                  "invariants":{"cold_from":0.4,"cold_us":8100000,"fall_multiple":4.0,"fall_us":1000000,"must_ask_in_us":10000000},
+                  "over_share_worth":0.05,
+                  "profiles":[{"name":"read","aim_us":600000,"deadline_us":2000000,"effect":"idempotent","value":1,"late_worth":0}],
+                  "projects":[""" + projects + "]}}");
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static double medianMs(Callable<?> what) throws Exception {
+        var took = new long[5];
+        for (int i = 0; i < took.length; i++) {
+            long from = System.nanoTime();
+            what.call();
+            took[i] = System.nanoTime() - from;
+        }
+        Arrays.sort(took);
+        return took[2] / 1e6;
+    }
+
+    private static long allocated() {
+        return ((com.sun.management.ThreadMXBean) ManagementFactory.getThreadMXBean()).getCurrentThreadAllocatedBytes();
+    }
+
+    private static BufferPoolMXBean direct() {
+        return ManagementFactory.getPlatformMXBeans(BufferPoolMXBean.class).stream().filter(b -> b.getName().equals("direct"))
+                .findFirst().orElseThrow();
+    }
+
+    private static long used() {
+        for (int i = 0; i < 3; i++) {
+            System.gc();
+        }
+        return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+    }
+}
--- a/proxy/src/test/java/walkpost/slope/ModuleDrive.java
+++ b/proxy/src/test/java/walkpost/slope/ModuleDrive.java
@@ -8,31 +8,48 @@
 import walkpost.Balancer.Event;
 import walkpost.Balancer.Limits;
 import walkpost.Balancer.ListKind;
+import walkpost.Balancer.Fail;
 import walkpost.Balancer.Members;
 import walkpost.Balancer.Outcome;
+import walkpost.Balancer.Refuse;
 import walkpost.Balancer.RequestClass;
 import walkpost.Balancer.Rules;
 import walkpost.Balancer.Scope;
 import walkpost.Balancer.Send;
+import walkpost.Balancer.SetTimer;
 import walkpost.Balancer.Settings;
 import walkpost.Balancer.State;
 import walkpost.Balancer.Tenant;
+import walkpost.Balancer.TimerFired;
 import walkpost.Policy;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.function.Consumer;
 
-/** One module of 590, driven in virtual time: each request is answered after 20 ms, before the next one comes. */
+/** One module of 590, driven in virtual time: each attempt is answered after 20 ms. */
 final class ModuleDrive {
+    private record Due(long at, long order, Event event) { }
+
     static final int PROXIES = 590;
     static final long S = 1_000_000;
     static final long ANSWER_US = 20_000;
 
     private final Settings settings;
-    final Policy policy;
+    private final Policy policy;
     long now = 1_000 * S;
-    private Send last;
+    private final PriorityQueue<Due> due = new PriorityQueue<>(Comparator.comparingLong(Due::at).thenComparingLong(Due::order));
+    private final Map<String, Integer> attempts = new HashMap<>();
+    private Consumer<Send> onSend = send -> { };
+    private Outcome answer = Outcome.OK;
+    private long order;
     private int requests;
+    private int sends;
+    private int refused;
 
     ModuleDrive(Settings settings) {
         this.settings = settings;
@@ -70,7 +87,14 @@
 
     private void hear(Action action) {
         if (action instanceof Send send) {
-            last = send;
+            sends++;
+            onSend.accept(send);
+            int number = attempts.merge(send.id(), 1, Integer::sum) - 1;
+            due.add(new Due(now + ANSWER_US, order++, new AttemptEnded(send.id(), number, send.backend(), answer, ANSWER_US, true)));
+        } else if (action instanceof SetTimer timer) {
+            due.add(new Due(timer.atUs(), order++, new TimerFired(timer.token())));
+        } else if (action instanceof Refuse || action instanceof Fail) {
+            refused++;
         }
     }
 
@@ -78,38 +102,69 @@
         feed(new Members(kind, backends));
     }
 
-    /** One request and its answer; returns what the server was, or null where the request was refused. */
-    String request(int type, int tenant, Outcome outcome) {
-        String id = "r" + requests++;
-        String name = settings.tenants().isEmpty() ? null : "tenant-" + tenant % settings.tenants().size();
-        last = null;
-        feed(new Arrival(id, settings.classes().get(type).name(), name, null, 2 * S, false, 0));
-        Send sent = last;
-        if (sent != null) {
-            now += ANSWER_US;
-            feed(new AttemptEnded(id, 0, sent.backend(), outcome, ANSWER_US, true));
+    /** All servers answer so from now on. */
+    void answer(Outcome outcome) {
+        answer = outcome;
+    }
+
+    void onSend(Consumer<Send> hearer) {
+        onSend = hearer;
+    }
+
+    /** Time passes: answers come and timers fire when they are due. */
+    void until(long end) {
+        while (!due.isEmpty() && due.peek().at() <= end) {
+            Due next = due.poll();
+            now = Math.max(now, next.at());
+            if (next.event() instanceof AttemptEnded ended) {
+                attempts.remove(ended.id());
+            }
+            feed(next.event());
         }
-        return sent == null ? null : sent.backend();
+        now = Math.max(now, end);
+    }
+
+    void arrive(int type, int tenant) {
+        String name = settings.tenants().isEmpty() ? null : "tenant-" + tenant % settings.tenants().size();
+        feed(new Arrival("r" + requests++, settings.classes().get(type).name(), name, null, 2 * S, false, 0));
+    }
+
+    /** One request, and the time that its answer takes. */
+    void request(int type, int tenant) {
+        arrive(type, tenant);
+        until(now + ANSWER_US);
+    }
+
+    int requests() {
+        return requests;
+    }
+
+    int sends() {
+        return sends;
+    }
+
+    int refused() {
+        return refused;
     }
 
     /** Each tenant and class once, at {@code perS} requests a second. */
     void once(int classes, int tenants, double perS) {
         for (int type = 0; type < classes; type++) {
             for (int tenant = 0; tenant < tenants; tenant++) {
-                request(type, tenant, Outcome.OK);
-                now += (long) (S / perS) - ANSWER_US / 2;
+                request(type, tenant);
+                until(now + Math.max(0, (long) (S / perS) - ANSWER_US));
             }
         }
     }
 
-    /** Requests at 92 a second; returns what each took of the CPU's time, arrival and end, in ns, sorted. */
+    /** Requests one after the other, 31 ms apart; returns what each took of the CPU's time, arrival and end, in ns, sorted. */
     long[] steady(int count, int classes, int tenants) {
         var took = new long[count];
         for (int i = 0; i < count; i++) {
             long from = System.nanoTime();
-            request(i % classes, i * 7919 % Math.max(1, tenants), Outcome.OK);
+            request(i % classes, i * 7919 % Math.max(1, tenants));
             took[i] = System.nanoTime() - from;
-            now += S / 92 / 2;
+            until(now + S / 92);
         }
         Arrays.sort(took);
         return took;
--- a/proxy/src/test/java/walkpost/slope/ModuleSlope.java
+++ b/proxy/src/test/java/walkpost/slope/ModuleSlope.java
@@ -120,14 +120,14 @@
         var drive = new ModuleDrive(ModuleDrive.settings(ModuleDrive.PROXIES, 17, 1, tenants));
         drive.list(ListKind.FULL, ModuleDrive.servers(servers));
         drive.steady(100, 1, tenants);
+        drive.answer(Outcome.ERROR);
         long before = ModuleDrive.usedBytes();
         for (int i = 0; i < 60_000; i++) {
             if (i % 15_000 == 0) {
                 System.out.printf("servers %5d  tenants %d  errors %5d  heap +%.2f MB%n", servers, tenants, i,
                         (ModuleDrive.usedBytes() - before) / 1e6);
             }
-            drive.request(0, i, Outcome.ERROR);
-            drive.now += 1;
+            drive.request(0, i);
         }
     }
 }
