Let a fleet's file name voters, and members share threads

One process is to hold many members, and only few of them vote.

A fleet of 'members' works as before: its tests pass with the constructors of Transport and the shape of facts() adapted, nothing in them eased.

--- a/fleet/src/main/java/walkpost/fleet/shell/Codec.java
+++ b/fleet/src/main/java/walkpost/fleet/shell/Codec.java
@@ -29,14 +29,16 @@
     private static final int MAC = 32;
     private static final int HEAD = 1 + MAC;
     private static final int MOST_NESTED = 32;
+    /** All members of a process share these, which know nothing of a cluster. */
+    private static final CBORMapper MAPPER = mapper();
+    private static final ObjectWriter WRITER = MAPPER.writerFor(Envelope.class);
+    private static final ObjectReader READER = MAPPER.readerFor(Envelope.class);
 
     private final String cluster;
     private final int shards;
     private final Counters counters;
     /** A Mac has a state of its own, and making one costs more than a short message does. */
     private final ThreadLocal<Mac> macs;
-    private final ObjectWriter writer;
-    private final ObjectReader reader;
 
     Codec(String cluster, int shards, Secret secret, Counters counters) {
         this.cluster = cluster;
@@ -44,11 +46,12 @@
         this.counters = counters;
         var key = new SecretKeySpec(secret.bytes(), ALGORITHM);
         macs = ThreadLocal.withInitial(() -> mac(key));
-        var mapper = CBORMapper.builder(CBORFactory.builder().streamReadConstraints(StreamReadConstraints.builder()
+    }
+
+    private static CBORMapper mapper() {
+        return CBORMapper.builder(CBORFactory.builder().streamReadConstraints(StreamReadConstraints.builder()
                 .maxNestingDepth(MOST_NESTED).maxStringLength(MOST).maxDocumentLength(MOST).build()).build())
                 .disable(MapperFeature.AUTO_DETECT_IS_GETTERS).disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES).build();
-        writer = mapper.writerFor(Envelope.class);
-        reader = mapper.readerFor(Envelope.class);
     }
 
     private static Mac mac(SecretKeySpec key) {
@@ -69,7 +72,7 @@
     byte[] encode(Envelope envelope) {
         byte[] body;
         try {
-            body = writer.writeValueAsBytes(envelope);
+            body = WRITER.writeValueAsBytes(envelope);
         } catch (JsonProcessingException e) {
             throw new IllegalArgumentException("a message that can't be written", e);
         }
@@ -96,7 +99,7 @@
         String cause = cause(message);
         if (cause == null) {
             try {
-                Envelope envelope = reader.readValue(message, HEAD, message.length - HEAD);
+                Envelope envelope = READER.readValue(message, HEAD, message.length - HEAD);
                 cause = cause(envelope);
                 if (cause == null) {
                     return envelope;
--- a/fleet/src/main/java/walkpost/fleet/shell/FleetHandle.java
+++ b/fleet/src/main/java/walkpost/fleet/shell/FleetHandle.java
@@ -5,7 +5,6 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Executor;
 import walkpost.fleet.copy.Acting;
-import walkpost.fleet.copy.Fact;
 import walkpost.fleet.copy.Order;
 import walkpost.fleet.member.Member;
 
@@ -32,14 +31,35 @@
     /** Returns what is known of all members, this one included. */
     List<Member> members();
 
-    /** Returns whether this member has caught up, in all shards. */
+    /** Returns whether this member has caught up, in all shards; an observer, whether it equals a voter that has. */
     boolean level();
 
     /** Returns what stands, by key, as this copy has it. */
     Map<Order.Key, Acting> orders();
 
-    /** Returns the facts of a topic, their ages counted to now; those older than their bound are among them. */
-    List<Fact> facts(String topic);
+    /**
+     * Finds the facts of a topic. Where the fleet has voters, all of them are asked at once, and the stage ends a second later at the
+     * latest; elsewhere this copy has them all.
+     */
+    CompletionStage<FactsHeard> facts(String topic);
+
+    /**
+     * Finds by how many an order is held, it or what has come after it, within a second. Fails with {@code BadCall} where the fleet has
+     * no voters: nobody counts there.
+     */
+    CompletionStage<Coverage> held(Order.Key key, String id);
+
+    /**
+     * Returns how long ago this member's copy was last known to be the fleet's, in microseconds: next to nothing while it is level, and
+     * {@link Long#MAX_VALUE} or nearly so where it never was.
+     */
+    long controlAgeUs();
+
+    /** Returns how many observers live, by region, as the voters say; empty where that is not known, or all members vote. */
+    Map<String, Integer> lives();
+
+    /** Returns the voters that feed this observer, the one that counts it first; none at a voter. */
+    List<String> feeds();
 
     /** Returns the bound on a topic's facts, in microseconds. */
     long boundUs(String topic);
--- a/fleet/src/main/java/walkpost/fleet/shell/FleetListener.java
+++ b/fleet/src/main/java/walkpost/fleet/shell/FleetListener.java
@@ -1,5 +1,6 @@
 package walkpost.fleet.shell;
 
+import java.util.Map;
 import walkpost.fleet.copy.Acting;
 import walkpost.fleet.copy.Fact;
 import walkpost.fleet.copy.Order;
@@ -19,9 +20,12 @@
     /** A fact has grown older than its topic's bound: whatever rests on it is to fall back. */
     void stale(Fact.Key key);
 
-    /** What is to be acted on for a key. Comes only while this member is level. */
+    /** What is to be acted on for a key. Comes only while this member is level; to an observer, once it was level for the first time. */
     void stands(Order.Key key, Acting acting);
 
     /** This member has caught up, or is not sure of it any more: then what stood last goes on. */
     void level(boolean level);
+
+    /** How many observers live, by region, has changed; empty where that is not known. Comes to observers only. */
+    default void lives(Map<String, Integer> byRegion) { }
 }
--- a/fleet/src/main/java/walkpost/fleet/shell/MemberLane.java
+++ b/fleet/src/main/java/walkpost/fleet/shell/MemberLane.java
@@ -1,7 +1,9 @@
 package walkpost.fleet.shell;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.locks.Lock;
@@ -116,13 +118,30 @@
         }
     }
 
-    MembershipFigures figures() {
+    /** Returns counts by name. */
+    Map<String, Long> figures() {
+        MembershipFigures figures;
         lock.lock();
         try {
-            return membership.figures();
+            figures = membership.figures();
         } finally {
             lock.unlock();
         }
+        var all = new HashMap<String, Long>();
+        all.put("pings", figures.pings());
+        all.put("acks", figures.acks());
+        all.put("nacks", figures.nacks());
+        all.put("suspicions", figures.suspicions());
+        all.put("false_suspicions", figures.falseSuspicions());
+        all.put("refutations", figures.refutations());
+        all.put("deaths", figures.deaths());
+        all.put("leaves", figures.leaves());
+        all.put("joins", figures.joins());
+        all.put("name_conflicts", figures.conflicts());
+        all.put("standstills", figures.standstills());
+        all.put("health", (long) figures.health());
+        figures.dropped().forEach((cause, count) -> all.put("member_" + Counters.DROPPED + cause.name().toLowerCase(Locale.ROOT), count));
+        return all;
     }
 
     /** Returns who lives, those suspected among them, this member apart, with the round trips to them; on the loop. */
--- a/fleet/src/main/java/walkpost/fleet/shell/ShardLane.java
+++ b/fleet/src/main/java/walkpost/fleet/shell/ShardLane.java
@@ -36,14 +36,15 @@
     static final int MOST_MESSAGES = 1_000;
     /** Bytes of messages that wait. */
     static final int MOST_BYTES = 2 << 20;
-    /** Microseconds after which a message is not sent any more, as {@link CopyAction.Send} has it. */
-    private static final long LATE_US = 1_000_000;
 
     /** What a lane needs of the fleet; called by a thread of the pool, with no lock held. */
     interface Surroundings {
         /** Sends a message to the same shard of a member. */
         void send(int shard, String to, CopyMessage message);
 
+        /** Slots have changed, and are on disk where there is one. */
+        void changed(List<Slot> slots);
+
         /** A shard has caught up, or is not sure of it any more. */
         void level(int shard, boolean level);
 
@@ -238,7 +239,7 @@
                 if (item.event != null) {
                     var actions = new ArrayList<CopyAction>();
                     CopyEvent event = item.event instanceof CopyEvent.Received received
-                            ? new CopyEvent.Received(received.from(), aged(received.message(), nowUs - item.atUs)) : item.event;
+                            ? new CopyEvent.Received(received.from(), Ages.aged(received.message(), nowUs - item.atUs)) : item.event;
                     try {
                         shard.handle(nowUs, event, actions::add);
                     } catch (RuntimeException e) {
@@ -253,18 +254,6 @@
         return due;
     }
 
-    /** Returns a message as it is after so long: facts in it have grown older by what they waited here, one way or the other. */
-    private static CopyMessage aged(CopyMessage message, long waitedUs) {
-        return message instanceof CopyMessage.Facts told
-                ? new CopyMessage.Facts(told.fetched(), told.facts().stream().map(fact -> aged(fact, waitedUs)).toList()) : message;
-    }
-
-    private static Fact aged(Fact fact, long waitedUs) {
-        // An age that makes no sense is left for the shard to refuse.
-        return fact.ageUs() < 0 || fact.ageUs() > Long.MAX_VALUE - waitedUs ? fact
-                : new Fact(fact.key(), fact.incarnation(), fact.version(), fact.payload(), fact.ageUs() + waitedUs);
-    }
-
     private void failed(RuntimeException cause, Object what) {
         counters.add("failures", 1);
         Log.failure("machine_failed", cause, "machine", "shard " + number, "event", what.getClass().getSimpleName());
@@ -273,11 +262,13 @@
     private void carryOut(Due due) {
         if (due.action instanceof CopyAction.Send send) {
             long waitedUs = clock.nowUs() - due.atUs;
-            if (waitedUs > LATE_US) {
+            if (waitedUs > Ages.LATE_US) {
                 counters.dropped("late");
             } else {
-                surroundings.send(number, send.to(), aged(send.message(), waitedUs));
+                surroundings.send(number, send.to(), Ages.aged(send.message(), waitedUs));
             }
+        } else if (due.action instanceof CopyAction.Persist persist) {
+            surroundings.changed(persist.slots());
         } else if (due.action instanceof CopyAction.Acknowledged acknowledged) {
             surroundings.acknowledged(acknowledged.id(), acknowledged.order());
         } else if (due.action instanceof CopyAction.Refused refused) {
--- a/fleet/src/main/java/walkpost/fleet/shell/Transport.java
+++ b/fleet/src/main/java/walkpost/fleet/shell/Transport.java
@@ -10,17 +10,13 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.EventLoopGroup;
 import io.netty.channel.FixedRecvByteBufAllocator;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.SocketProtocolFamily;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.util.NetUtil;
-import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
@@ -29,16 +25,20 @@
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 import walkpost.fleet.FleetException.AddressTaken;
 import walkpost.fleet.member.Address;
 
 /**
- * The sockets: datagrams and connections on one port, IPv4, all on one event loop of the fleet's own, so that nothing here holds up what
- * serves. Owns the loop, which also owns the membership's events and all ticks. Messages are bytes to it.
+ * The sockets: datagrams and connections on one port, IPv4, all on one event loop of {@link FleetThreads}, so that nothing here holds
+ * up what serves. That loop also has the membership's events and all ticks. Messages are bytes to it.
  */
 final class Transport implements AutoCloseable {
     /** Bytes; longer ones go over connections, as a datagram in pieces is lost with any of them: 1,500 of Ethernet less headers of 28. */
@@ -52,9 +52,7 @@
     private static final int TRIES = 32;
     private static final int END_S = 2;
 
-    private final EventLoopGroup group =
-            new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("fleet-net", true), NioIoHandler.newFactory());
-    private final EventLoop loop = group.next();
+    private final EventLoop loop;
     private final Predicate<byte[]> receiver;
     private final Counters counters;
     private final Address bound;
@@ -71,7 +69,8 @@
      * @param receiver is given messages, on the loop; returns false for one that is improper, and its connection is closed
      * @throws AddressTaken if it can't be had; nothing is held then
      */
-    Transport(Address at, Predicate<byte[]> receiver, Counters counters) throws AddressTaken {
+    Transport(EventLoop loop, Address at, Predicate<byte[]> receiver, Counters counters) throws AddressTaken {
+        this.loop = loop;
         this.receiver = receiver;
         this.counters = counters;
         boolean opened = false;
@@ -222,20 +221,28 @@
         return receiver.test(message);
     }
 
-    /** Gives back every socket and the loop's thread, within two seconds; what was not sent by then is not sent. */
+    /** Gives back every socket, within two seconds; what was not sent by then is not sent. Not to be called on the loop. */
     @Override
     public void close() {
+        var closing = new CountDownLatch(1);
         onLoop(() -> {
             links.values().stream().toList().forEach(Link::close);
             inbound.stream().toList().forEach(Channel::close);
-            if (server != null) {
-                server.close();
-            }
-            if (datagrams != null) {
-                datagrams.close();
-            }
+            var bound = Stream.of(server, datagrams).filter(Objects::nonNull).toList();
+            var left = new AtomicInteger(bound.size());
+            bound.forEach(channel -> channel.close().addListener(done -> {
+                if (left.decrementAndGet() == 0) {
+                    closing.countDown();
+                }
+            }));
         });
-        group.shutdownGracefully(0, END_S, TimeUnit.SECONDS).awaitUninterruptibly(END_S, TimeUnit.SECONDS);
+        try {
+            if ((server != null || datagrams != null) && !loop.isShutdown()) {
+                closing.await(END_S, TimeUnit.SECONDS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     private final class Datagrams extends SimpleChannelInboundHandler<DatagramPacket> {
--- a/fleet/src/test/java/walkpost/fleet/shell/FleetTest.java
+++ b/fleet/src/test/java/walkpost/fleet/shell/FleetTest.java
@@ -159,7 +159,7 @@
         fleets.get(1).tell("load", "n2", "{\"busy\":0.5}");
         heard.get(0).await(fact("n2", "{\"busy\":0.5}"));
         heard.get(2).await(fact("n2", "{\"busy\":0.5}"));
-        assertThat(fleets.get(2).facts("load")).extracting(Fact::payload).containsExactly("{\"busy\":0.5}");
+        assertThat(fleets.get(2).facts("load").toCompletableFuture().join().facts()).extracting(Fact::payload).containsExactly("{\"busy\":0.5}");
         heard.get(2).await(event -> event.equals(new Fact.Key("load", "n2", "n2")));
 
         Order order = ordered(fleets.get(2), "o1", "", "{\"out\":true}");
@@ -240,7 +240,8 @@
     void whatOthersSendInAWrongNameLifeOrSecretIsDropped() throws Exception {
         Fleet fleet = open(file("n1", List.of("n1", "n2"), List.of(), false), LogFile::new);
         var answers = new LinkedBlockingQueue<byte[]>();
-        try (Transport n2 = new Transport(Loopback.ANY, answers::add, new Counters())) {
+        try (FleetThreads threads = new FleetThreads(1, 1);
+                Transport n2 = new Transport(threads.loop(), Loopback.ANY, answers::add, new Counters())) {
             var codec = new Codec("gent", 4, SECRET, new Counters());
             var other = new Secret("quite another".repeat(2).getBytes(StandardCharsets.UTF_8));
             var life = new Life("n2", 5);
--- a/fleet/src/test/java/walkpost/fleet/shell/ShardLaneTest.java
+++ b/fleet/src/test/java/walkpost/fleet/shell/ShardLaneTest.java
@@ -18,6 +18,7 @@
 import walkpost.fleet.copy.Fact;
 import walkpost.fleet.copy.Order;
 import walkpost.fleet.copy.Shard;
+import walkpost.fleet.copy.Slot;
 import walkpost.fleet.member.Life;
 import walkpost.fleet.member.Member;
 
@@ -36,6 +37,11 @@
                     done.add("send " + to);
                 }
 
+                @Override
+                public void changed(List<Slot> slots) {
+                    slots.forEach(slot -> done.add("changed " + slot.key().subject()));
+                }
+
                 @Override
                 public void level(int shard, boolean level) {
                     done.add("level " + level);
@@ -99,7 +105,7 @@
         lane.offer(new CopyEvent.Propose(new Order.Key("exclusion", "t"), "o2", "", "{}"));
         run();
         assertThat(done.get(0)).isEqualTo("level true");
-        assertThat(done).containsSubsequence("level true", "acknowledged o1").contains("refused o2", "stands {}");
+        assertThat(done).containsSubsequence("level true", "changed t", "acknowledged o1").contains("refused o2", "stands {}");
     }
 
     @Test
--- a/fleet/src/test/java/walkpost/fleet/shell/TransportTest.java
+++ b/fleet/src/test/java/walkpost/fleet/shell/TransportTest.java
@@ -28,9 +28,10 @@
     private final List<AutoCloseable> open = new ArrayList<>();
     private final BlockingQueue<byte[]> received = new LinkedBlockingQueue<>();
     private final Counters counters = new Counters();
+    private final FleetThreads threads = new FleetThreads(1, 1);
 
     private Transport transport(Address at) throws AddressTaken {
-        var transport = new Transport(at, received::add, counters);
+        var transport = new Transport(threads.loop(), at, received::add, counters);
         open.add(transport);
         return transport;
     }
@@ -40,6 +41,7 @@
         for (AutoCloseable one : open) {
             one.close();
         }
+        threads.close();
     }
 
     private Socket connected(Transport to) throws IOException {
--- a/proxy/src/main/java/walkpost/proxy/FleetLink.java
+++ b/proxy/src/main/java/walkpost/proxy/FleetLink.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiFunction;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import walkpost.fleet.FleetException;
@@ -238,11 +239,12 @@
 
     @Override
     public CompletionStage<String> facts(String topic) {
-        return answer(fleet -> {
+        return asked(fleet -> fleet.facts(topic), (fleet, heard) -> {
             long boundUs = fleet.boundUs(topic);
             ObjectNode json = Config.JSON.createObjectNode().put("bound_ms", boundUs / 1_000);
+            json.set("silent", Config.JSON.valueToTree(heard.silent()));
             ArrayNode facts = json.putArray("facts");
-            for (Fact fact : fleet.facts(topic)) {
+            for (Fact fact : heard.facts()) {
                 ObjectNode one = facts.addObject().put("subject", fact.key().subject()).put("writer", fact.key().writer());
                 one.set("payload", value(fact.payload()));
                 one.put("age_ms", fact.ageUs() / 1_000).put("stale", fact.ageUs() > boundUs);
@@ -303,6 +305,15 @@
                 : CompletableFuture.supplyAsync(() -> "SUCCESS " + copy.apply(fleet)).exceptionally(this::failure);
     }
 
+    /** Answers with what others were asked. */
+    private <T> CompletionStage<String> asked(Function<FleetHandle, CompletionStage<T>> question,
+            BiFunction<FleetHandle, T, JsonNode> answer) {
+        FleetHandle fleet = handle;
+        return fleet == null ? CompletableFuture.completedFuture("FAILURE " + absent)
+                : CompletableFuture.supplyAsync(() -> question.apply(fleet)).thenCompose(stage -> stage)
+                        .thenApplyAsync(found -> "SUCCESS " + answer.apply(fleet, found)).exceptionally(this::failure);
+    }
+
     /** Returns a payload as JSON; one that is none, from a faulty writer, as a text. */
     private static JsonNode value(String payload) {
         try {
--- a/proxy/src/test/java/walkpost/proxy/FakeFleet.java
+++ b/proxy/src/test/java/walkpost/proxy/FakeFleet.java
@@ -17,6 +17,8 @@
 import walkpost.fleet.member.Life;
 import walkpost.fleet.member.Member;
 import walkpost.fleet.member.Standing;
+import walkpost.fleet.shell.Coverage;
+import walkpost.fleet.shell.FactsHeard;
 import walkpost.fleet.shell.FleetHandle;
 import walkpost.fleet.shell.FleetListener;
 
@@ -32,6 +34,11 @@
     final BlockingQueue<Given> given = new LinkedBlockingQueue<>();
     final BlockingQueue<String> told = new LinkedBlockingQueue<>();
     final List<Fact> facts = new CopyOnWriteArrayList<>();
+    final CompletableFuture<Coverage> coverage = new CompletableFuture<>();
+    volatile List<String> silent = List.of();
+    volatile List<String> feeds = List.of();
+    volatile Map<String, Integer> lives = Map.of();
+    volatile long controlAgeUs;
     final CompletableFuture<Void> left = new CompletableFuture<>();
     private final Map<Order.Key, Acting> orders = new ConcurrentHashMap<>();
     private final List<Member> members = new CopyOnWriteArrayList<>();
@@ -111,8 +118,28 @@
     }
 
     @Override
-    public List<Fact> facts(String topic) {
-        return facts.stream().filter(f -> f.key().topic().equals(topic)).toList();
+    public CompletionStage<FactsHeard> facts(String topic) {
+        return CompletableFuture.completedFuture(new FactsHeard(facts.stream().filter(f -> f.key().topic().equals(topic)).toList(), silent));
+    }
+
+    @Override
+    public CompletionStage<Coverage> held(Order.Key key, String id) {
+        return coverage;
+    }
+
+    @Override
+    public long controlAgeUs() {
+        return controlAgeUs;
+    }
+
+    @Override
+    public Map<String, Integer> lives() {
+        return lives;
+    }
+
+    @Override
+    public List<String> feeds() {
+        return feeds;
     }
 
     @Override
