Hold voters and observers to their parts in whole members

A voter's own facts were found by nobody who asked: they are in its shards, and Feed answered from reports alone. FeedEvent.Asked hands them to it.

--- a/fleet/src/main/java/walkpost/fleet/observe/Feed.java
+++ b/fleet/src/main/java/walkpost/fleet/observe/Feed.java
@@ -75,6 +75,10 @@
             sums.tick(nowUs, others, attached.byRegion(), send);
         } else if (event instanceof FeedEvent.Received received) {
             receive(nowUs, received.from(), received.message(), send, actions);
+        } else if (event instanceof FeedEvent.Asked asked) {
+            if (questions.take(nowUs, 1)) {
+                facts(nowUs, asked.from(), asked.question(), asked.own(), send);
+            }
         } else if (event instanceof FeedEvent.Changed changed) {
             changed(nowUs, changed.slots(), send);
         } else if (event instanceof FeedEvent.Level now) {
@@ -116,7 +120,7 @@
     private void receive(long nowUs, String from, ObserveMessage message, Send send, Consumer<FeedAction> actions) {
         if (message instanceof ObserveMessage.AskFacts asked) {
             if (questions.take(nowUs, 1)) {
-                facts(nowUs, from, asked, send);
+                facts(nowUs, from, asked, List.of(), send);
             }
         } else if (message instanceof ObserveMessage.AskHeld asked) {
             if (questions.take(nowUs, 1)) {
@@ -170,8 +174,12 @@
         }
     }
 
-    private void facts(long nowUs, String from, ObserveMessage.AskFacts asked, Send send) {
-        List<List<Fact>> parts = Sizes.parts(asked.topic() == null ? List.of() : reports.on(asked.topic(), nowUs), Sizes::of);
+    private void facts(long nowUs, String from, ObserveMessage.AskFacts asked, List<Fact> own, Send send) {
+        List<Fact> all = new ArrayList<>(own);
+        if (asked.topic() != null) {
+            all.addAll(reports.on(asked.topic(), nowUs));
+        }
+        List<List<Fact>> parts = Sizes.parts(all, Sizes::of);
         if (parts.isEmpty()) {
             parts.add(List.of());
         }
--- a/fleet/src/main/java/walkpost/fleet/observe/FeedEvent.java
+++ b/fleet/src/main/java/walkpost/fleet/observe/FeedEvent.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Set;
 import walkpost.fleet.FleetException;
+import walkpost.fleet.copy.Fact;
 import walkpost.fleet.copy.Order;
 import walkpost.fleet.copy.Slot;
 
@@ -21,6 +22,13 @@
     /** A message has come from a member. */
     record Received(String from, ObserveMessage message) implements FeedEvent { }
 
+    /** A member asks for facts; {@code own} are those on that topic that this voter has written itself, their ages counted to now. */
+    record Asked(String from, ObserveMessage.AskFacts question, List<Fact> own) implements FeedEvent {
+        public Asked {
+            own = List.copyOf(own);
+        }
+    }
+
     /** Slots of this voter's shards have changed, and are on disk where there is one; an empty one has been forgotten. */
     record Changed(List<Slot> slots) implements FeedEvent {
         public Changed {
--- a/fleet/src/main/java/walkpost/fleet/shell/FeedLane.java
+++ b/fleet/src/main/java/walkpost/fleet/shell/FeedLane.java
@@ -1,13 +1,16 @@
 package walkpost.fleet.shell;
 
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
 import walkpost.fleet.FleetException;
 import walkpost.fleet.copy.CopyEvent;
+import walkpost.fleet.copy.Fact;
 import walkpost.fleet.copy.Order;
 import walkpost.fleet.copy.Slot;
 import walkpost.fleet.observe.Feed;
@@ -23,6 +26,9 @@
         /** Gives an order to its shard; what comes of it is told by {@link FeedLane#acknowledged} or {@link FeedLane#refused}. */
         void propose(Order.Key key, String id, String replaces, String payload);
 
+        /** Returns the facts on a topic that this voter has written. */
+        List<Fact> own(String topic);
+
         /** Gives decided orders to the shards that they lie in. */
         void offer(List<Slot> slots);
     }
@@ -30,6 +36,7 @@
     private final String self;
     private final List<String> voters;
     private final Counters counters;
+    private final Executor pool;
     private final Sender sender;
     private final Shards shards;
     private final Feed feed;
@@ -40,6 +47,7 @@
         self = file.name();
         voters = file.voters();
         this.counters = counters;
+        this.pool = pool;
         this.sender = sender;
         this.shards = shards;
         feed = new Feed(ObserveSettings.usual(), self, file.region(), Set.copyOf(voters));
@@ -73,7 +81,7 @@
 
     private void ask(String voter, ObserveMessage question) {
         if (voter.equals(self)) {
-            turns.put(new FeedEvent.Received(self, question));
+            received(self, question, 1);
         } else {
             sender.send(voter, question);
         }
@@ -82,11 +90,25 @@
     void received(String from, ObserveMessage message, int length) {
         if (Desk.takes(message)) {
             desk.received(from, message);
+        } else if (message instanceof ObserveMessage.AskFacts question && question.topic() != null) {
+            asked(from, question, length);
         } else {
             turns.put(waitedUs -> new FeedEvent.Received(from, Ages.aged(message, waitedUs)), length);
         }
     }
 
+    /** Not on the loop: shards may be busy. */
+    private void asked(String from, ObserveMessage.AskFacts question, int length) {
+        try {
+            pool.execute(() -> {
+                List<Fact> own = shards.own(question.topic());
+                turns.put(waitedUs -> new FeedEvent.Asked(from, question, own), length);
+            });
+        } catch (RejectedExecutionException e) {
+            counters.add("after_the_end", 1);
+        }
+    }
+
     void tick() {
         turns.tick();
         desk.tick();
@@ -127,8 +149,12 @@
         return turns.read(feed::lives);
     }
 
+    /** Returns counts by name; what shards have as well, under a name of its own. */
     Map<String, Long> figures() {
-        return turns.read(nowUs -> feed.figures());
+        var all = new HashMap<String, Long>();
+        turns.read(nowUs -> feed.figures()).forEach((name, count) -> all.put(
+                name.equals("observers") || name.startsWith("dropped.") ? name : "feed." + name, count));
+        return all;
     }
 
     void end() {
--- a/fleet/src/main/java/walkpost/fleet/shell/FleetHandle.java
+++ b/fleet/src/main/java/walkpost/fleet/shell/FleetHandle.java
@@ -10,6 +10,9 @@
 
 /** What a process may do with the fleet once it is a member. Any thread may call; none is held up. */
 public interface FleetHandle extends AutoCloseable {
+    /** The age of a copy that never was the fleet's: huge, and small enough for sums. */
+    long NEVER_US = Long.MAX_VALUE / 4;
+
     /** Has everything told to a listener from now on, what is known already first, on its executor. */
     void listen(Executor executor, FleetListener listener);
 
@@ -51,7 +54,7 @@
 
     /**
      * Returns how long ago this member's copy was last known to be the fleet's, in microseconds: next to nothing while it is level, and
-     * {@link Long#MAX_VALUE} or nearly so where it never was.
+     * {@link #NEVER_US} where it never was.
      */
     long controlAgeUs();
 
--- a/fleet/src/main/java/walkpost/fleet/shell/VotingPart.java
+++ b/fleet/src/main/java/walkpost/fleet/shell/VotingPart.java
@@ -184,6 +184,11 @@
             }
         }
 
+        @Override
+        public List<Fact> own(String topic) {
+            return copied(topic).stream().filter(fact -> fact.key().writer().equals(file.name())).toList();
+        }
+
         @Override
         public void offer(List<Slot> slots) {
             for (int i = 0; i < shards.size(); i++) {
@@ -267,8 +272,11 @@
 
     @Override
     public CompletionStage<FactsHeard> facts(String topic) {
-        List<Fact> own = shards.stream().flatMap(shard -> shard.facts(topic).stream()).toList();
-        return feed == null ? CompletableFuture.completedFuture(new FactsHeard(own, List.of())) : feed.facts(topic);
+        return feed == null ? CompletableFuture.completedFuture(new FactsHeard(copied(topic), List.of())) : feed.facts(topic);
+    }
+
+    private List<Fact> copied(String topic) {
+        return shards.stream().flatMap(shard -> shard.facts(topic).stream()).toList();
     }
 
     @Override
@@ -280,7 +288,7 @@
     @Override
     public long controlAgeUs() {
         Long until = levelUntilUs;
-        return level ? 0 : until == null ? Long.MAX_VALUE : Math.max(0, clock.nowUs() - until);
+        return level ? 0 : until == null ? FleetHandle.NEVER_US : Math.max(0, clock.nowUs() - until);
     }
 
     @Override
--- a/fleet/src/test/java/walkpost/fleet/shell/CodecTest.java
+++ b/fleet/src/test/java/walkpost/fleet/shell/CodecTest.java
@@ -25,6 +25,7 @@
 import walkpost.fleet.member.Address;
 import walkpost.fleet.member.Life;
 import walkpost.fleet.member.MemberMessage;
+import walkpost.fleet.observe.ObserveMessage;
 
 /** Messages as bytes: what is not from this cluster's members, or not understood, is dropped under its cause and never an error. */
 final class CodecTest {
@@ -89,6 +90,60 @@
         assertThat(counters.all()).isEmpty();
     }
 
+    private static List<ObserveMessage> observeMessages() {
+        var key = new Order.Key("exclusion", "tile-1");
+        var order = new Order(key, "o1", 2, List.of("o0"), "{\"out\":true}", null, FROM);
+        var slots = List.of(new Slot(key, List.of(order), Map.of("o0", 1L), 0), Slot.empty(key));
+        var facts = List.of(new Fact(new Fact.Key("load", "n1", "n1"), 17, 1, null, 250));
+        return List.of(new ObserveMessage.Join(1, "north", true), new ObserveMessage.Welcome(1, Map.of("v1", "north")),
+                new ObserveMessage.Later(1, ObserveMessage.Reason.FULL, 500), new ObserveMessage.Leave(),
+                new ObserveMessage.Beat(2, false, -7, Long.MAX_VALUE / 4),
+                new ObserveMessage.Echo(2, true, 0, new long[] {1, -2, Long.MIN_VALUE}, Map.of("north", 3, "", 1)),
+                new ObserveMessage.Leaves(2, new int[] {4}, new long[] {-1, 5}),
+                new ObserveMessage.Stamps(2, 0, 2, new int[] {64}, List.of(new CopyMessage.SlotStamp(key, -9))),
+                new ObserveMessage.Want(2, List.of(key)), new ObserveMessage.Slots(2, 40, slots), new ObserveMessage.Push(8, 40, slots),
+                new ObserveMessage.Taken(8), new ObserveMessage.Offer(40, slots),
+                new ObserveMessage.Call(key, "o2", null, null), new ObserveMessage.Call(key, "o2", "", "{}"),
+                new ObserveMessage.Answer("o1", order, null, null, null, false),
+                new ObserveMessage.Answer("o1", null, "Busy", "it crosses", "wait", true), new ObserveMessage.Report(facts),
+                new ObserveMessage.AskFacts(3, "load"), new ObserveMessage.Facts(3, 0, 1, facts), new ObserveMessage.AskHeld(4, key, "o1"),
+                new ObserveMessage.Held(4, 5, 6, List.of("n9")), new ObserveMessage.Sum("north", Map.of("south", 12)));
+    }
+
+    @Test
+    void whatObserversAndVotersSayComesBackAsItWas() {
+        for (ObserveMessage message : observeMessages()) {
+            Envelope envelope = Envelope.of(message, "gent", FROM, AT, SHARDS);
+            Envelope back = codec.decode(codec.encode(envelope));
+            // Arrays are equal by what is in them here, and not to records.
+            assertThat(back).as("%s", message).usingRecursiveComparison().isEqualTo(envelope);
+        }
+        assertThat(observeMessages().stream().map(Object::getClass).distinct()).as("every kind of them")
+                .containsExactlyInAnyOrder(ObserveMessage.class.getPermittedSubclasses());
+        assertThat(counters.all()).isEmpty();
+    }
+
+    @Test
+    void whatObserversSayIsDroppedWhereAByteIsGarbledOrItMakesNoSense() throws Exception {
+        for (ObserveMessage message : observeMessages()) {
+            byte[] whole = codec.encode(Envelope.of(message, "gent", FROM, AT, SHARDS));
+            for (int i = 0; i < whole.length; i++) {
+                byte[] garbled = whole.clone();
+                garbled[i] ^= 1;
+                dropped(garbled, i == 0 ? "unknown_format" : "not_authentic");
+            }
+            dropped(codec("brugge", SECRET).encode(Envelope.of(message, "brugge", FROM, AT, SHARDS)), "other_cluster");
+            var tree = (ObjectNode) CBOR.readTree(Arrays.copyOfRange(whole, HEAD, whole.length));
+            ((ObjectNode) tree.get("observe")).put("t", "song");
+            dropped(signed((byte) Codec.FORMAT, tree), "not_understood");
+            tree = (ObjectNode) CBOR.readTree(Arrays.copyOfRange(whole, HEAD, whole.length));
+            ((ObjectNode) tree.get("observe")).put("colour", "green");
+            assertThat(codec.decode(signed((byte) Codec.FORMAT, tree))).isNotNull();
+            tree.set("member", CBOR.readTree(Arrays.copyOfRange(ping(), HEAD, ping().length)).get("member"));
+            dropped(signed((byte) Codec.FORMAT, tree), "not_understood");
+        }
+    }
+
     @Test
     void unknownFieldsArePassedOver() throws Exception {
         byte[] later = ping(tree -> {
--- a/fleet/src/test/java/walkpost/fleet/shell/FleetFileTest.java
+++ b/fleet/src/test/java/walkpost/fleet/shell/FleetFileTest.java
@@ -119,6 +119,67 @@
         assertThatThrownBy(() -> read(toml, Map.of())).isInstanceOf(BadFile.class).hasMessageContaining("fleet.toml: " + told);
     }
 
+    private static String voting(String name) {
+        return GOOD.replace("members = [\"n1\", \"n2\", \"n3\"]", "voters = [\"v1\", \"v2\", \"v3\"]\nregion = \"north\"")
+                .replace("name = \"n1\"", "name = \"" + name + "\"");
+    }
+
+    @Test
+    void aMemberThatIsNoneOfTheVotersIsAnObserver() throws Exception {
+        FleetFile voter = read(voting("v2"), Map.of());
+        assertThat(voter.observer()).isFalse();
+        assertThat(voter.voters()).containsExactly("v1", "v2", "v3");
+        assertThat(voter.configured()).isEqualTo(voter.voters());
+        assertThat(voter.members()).isEmpty();
+        assertThat(voter.region()).isEqualTo("north");
+        FleetFile observer = read(voting("n1").replace("directory = \"orders\"", "").replace("region = \"north\"", ""), Map.of());
+        assertThat(observer.observer()).isTrue();
+        assertThat(observer.region()).isEmpty();
+        assertThat(observer.directory()).isNull();
+        assertThat(read(GOOD, Map.of()).observer()).isFalse();
+        assertThat(read(GOOD, Map.of()).configured()).containsExactly("n1", "n2", "n3");
+    }
+
+    @Test
+    void nineVotersAreTakenAndTenAreNot() throws Exception {
+        String nine = voting("v2").replace("\"v3\"", "\"v3\", \"v4\", \"v5\", \"v6\", \"v7\", \"v8\", \"v9\"");
+        assertThat(read(nine, Map.of()).voters()).hasSize(9);
+        assertThatThrownBy(() -> read(nine.replace("\"v9\"", "\"v9\", \"v10\""), Map.of())).isInstanceOf(BadFile.class)
+                .hasMessageContaining("fleet.toml: voters: found 10, expected at most 9");
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', quoteCharacter = '~', textBlock = """
+            voters = ["v1", "v2", "v3"]   | voters = []                  | voters: found [], expected a list of names, one or more
+            voters = ["v1", "v2", "v3"]   | voters = ["v1", "v1"]        | voters: found ["v1","v1"], expected a list of names, one or more
+            voters = ["v1", "v2", "v3"]   | voters = "v1"                | voters: found "v1", expected a list of names
+            voters = ["v1", "v2", "v3"]   | voters = ["v 1"]             | voters: found ["v 1"], expected a list of names
+            voters = ["v1", "v2", "v3"]   | votres = ["v1"]              | votres: no such field, expected 'voters'
+            voters = ["v1", "v2", "v3"]   | voters = ["n1"]\\nmembers = ["n1"] | members: found ["n1"], expected none, as 'voters' says
+            region = "north"              | region = "far north"         | region: found "far north", expected a name
+            region = "north"              | region = 3                   | region: found 3, expected a name
+            voters = ["v1", "v2", "v3"]   | members = ["v2"]             | region: found "north", expected none, as it has a meaning only
+            name = "v2"                   | name = "n1"                  | directory: found "orders", expected none, as 'n1' is not among
+            """)
+    void aWrongFieldOfAFileWithVotersIsNamedAsWell(String line, String instead, String told) {
+        String toml = voting("v2").replace(line, instead.replace("\\n", "\n"));
+        assertThat(toml).isNotEqualTo(voting("v2"));
+        assertThatThrownBy(() -> read(toml, Map.of())).isInstanceOf(BadFile.class).hasMessageContaining("fleet.toml: " + told);
+    }
+
+    @Test
+    void anotherObserverOfTheSameFileHasItsOwnNameAndAddress() throws Exception {
+        FleetFile file = read(voting("v2"), Map.of());
+        FleetFile other = file.of("n7", new Address("127.0.0.1", 0));
+        assertThat(other.name()).isEqualTo("n7");
+        assertThat(other.bind()).isEqualTo(new Address("127.0.0.1", 0));
+        assertThat(other.advertise()).isNull();
+        assertThat(other.directory()).isNull();
+        assertThat(other.observer()).isTrue();
+        assertThat(other.voters()).isEqualTo(file.voters());
+        assertThat(other.seeds()).isEqualTo(file.seeds());
+    }
+
     @Test
     void aNameFromTheEnvironmentIsCheckedAsOneFromTheFile() {
         assertThatThrownBy(() -> read(GOOD.replace("name = \"n1\"", ""), Map.of("PROXY_NAME", "n 1"))).isInstanceOf(BadFile.class)
