Show operators how an observer stands to its voters

An operator at an observer's door saw neither how old its knowledge is nor who lacks an order. 'fleet' shows voters, feeds, lives by region and control_age_ms, 'facts' the voters that did not answer, and 'held ID ORDER' by how many an order is held; all only where the file has voters, so that the lines of a fleet whose members all vote stay as they were.

--- a/fleet/src/main/java/walkpost/fleet/shell/Fleet.java
+++ b/fleet/src/main/java/walkpost/fleet/shell/Fleet.java
@@ -308,6 +308,11 @@
         return part.lives();
     }
 
+    @Override
+    public List<String> voters() {
+        return file.voters();
+    }
+
     @Override
     public List<String> feeds() {
         return part.feeds();
--- a/fleet/src/main/java/walkpost/fleet/shell/FleetHandle.java
+++ b/fleet/src/main/java/walkpost/fleet/shell/FleetHandle.java
@@ -61,6 +61,9 @@
     /** Returns how many observers live, by region, as the voters say; empty where that is not known, or all members vote. */
     Map<String, Integer> lives();
 
+    /** Returns the names of those that vote where not all members do; none elsewhere. */
+    List<String> voters();
+
     /** Returns the voters that feed this observer, the one that counts it first; none at a voter. */
     List<String> feeds();
 
--- a/proxy/src/main/java/walkpost/proxy/FleetLink.java
+++ b/proxy/src/main/java/walkpost/proxy/FleetLink.java
@@ -215,6 +215,13 @@
             fleet.members().stream().sorted(Comparator.comparing((Member m) -> m.life().name())).forEach(m -> members.addObject()
                     .put("name", m.life().name()).put("standing", m.standing().name()).put("incarnation", m.life().incarnation())
                     .put("address", m.address().toString()));
+            if (!fleet.voters().isEmpty()) {
+                long ageUs = fleet.controlAgeUs();
+                json.set("voters", Config.JSON.valueToTree(fleet.voters()));
+                json.set("feeds", Config.JSON.valueToTree(fleet.feeds()));
+                json.set("lives", Config.JSON.valueToTree(fleet.lives()));
+                json.put("control_age_ms", ageUs >= FleetHandle.NEVER_US ? null : (Long) (ageUs / 1_000));
+            }
             json.set("counters", Config.JSON.valueToTree(fleet.counters()));
             return json;
         });
@@ -242,7 +249,9 @@
         return asked(fleet -> fleet.facts(topic), (fleet, heard) -> {
             long boundUs = fleet.boundUs(topic);
             ObjectNode json = Config.JSON.createObjectNode().put("bound_ms", boundUs / 1_000);
-            json.set("silent", Config.JSON.valueToTree(heard.silent()));
+            if (!fleet.voters().isEmpty()) {
+                json.set("silent", Config.JSON.valueToTree(heard.silent()));
+            }
             ArrayNode facts = json.putArray("facts");
             for (Fact fact : heard.facts()) {
                 ObjectNode one = facts.addObject().put("subject", fact.key().subject()).put("writer", fact.key().writer());
@@ -253,6 +262,20 @@
         });
     }
 
+    @Override
+    public CompletionStage<String> held(String server, String id) {
+        String wrong = wrong(server, id);
+        if (wrong != null) {
+            return CompletableFuture.completedFuture("FAILURE " + wrong);
+        }
+        return asked(fleet -> fleet.held(new Order.Key(EXCLUSION, server), id), (fleet, found) -> {
+            ObjectNode json = Config.JSON.createObjectNode().put("held", found.held()).put("of", found.of());
+            json.set("lacking", Config.JSON.valueToTree(found.lacking()));
+            json.set("silent", Config.JSON.valueToTree(found.silent()));
+            return json;
+        });
+    }
+
     @Override
     public CompletionStage<String> order(String server, boolean out, String id, String replaces) {
         FleetHandle fleet = handle;
--- a/proxy/src/main/java/walkpost/proxy/FleetSide.java
+++ b/proxy/src/main/java/walkpost/proxy/FleetSide.java
@@ -25,6 +25,9 @@
     /** Tells the facts of a topic. */
     CompletionStage<String> facts(String topic);
 
+    /** Tells by how many an order on a tile server is held, or what has come after it, and names some that lack it. */
+    CompletionStage<String> held(String server, String id);
+
     /**
      * Orders a tile server out of all proxies, or back.
      *
--- a/proxy/src/main/java/walkpost/proxy/OperatorDoor.java
+++ b/proxy/src/main/java/walkpost/proxy/OperatorDoor.java
@@ -102,6 +102,7 @@
                 new Call("fleet", LONGEST_LINE, words -> fleet().fleet()),
                 new Call("orders", LONGEST_LINE, words -> fleet().orders()),
                 new Call("facts TOPIC", LONGEST_LINE, words -> fleet().facts(words[1])),
+                new Call("held ID ORDER", LONGEST_FLEET_LINE, words -> fleet().held(words[1], words[2])),
                 new Call("exclude ID fleet ORDER [REPLACES]", LONGEST_FLEET_LINE, words -> order(words, true)),
                 new Call("include ID fleet ORDER [REPLACES]", LONGEST_FLEET_LINE, words -> order(words, false)));
     }
--- a/proxy/src/test/java/walkpost/proxy/FakeFleet.java
+++ b/proxy/src/test/java/walkpost/proxy/FakeFleet.java
@@ -34,8 +34,10 @@
     final BlockingQueue<Given> given = new LinkedBlockingQueue<>();
     final BlockingQueue<String> told = new LinkedBlockingQueue<>();
     final List<Fact> facts = new CopyOnWriteArrayList<>();
+    final List<String> asked = new CopyOnWriteArrayList<>();
     final CompletableFuture<Coverage> coverage = new CompletableFuture<>();
     volatile List<String> silent = List.of();
+    volatile List<String> voters = List.of();
     volatile List<String> feeds = List.of();
     volatile Map<String, Integer> lives = Map.of();
     volatile long controlAgeUs;
@@ -124,6 +126,7 @@
 
     @Override
     public CompletionStage<Coverage> held(Order.Key key, String id) {
+        asked.add(key.topic() + " " + key.subject() + " " + id);
         return coverage;
     }
 
@@ -137,6 +140,11 @@
         return lives;
     }
 
+    @Override
+    public List<String> voters() {
+        return voters;
+    }
+
     @Override
     public List<String> feeds() {
         return feeds;
--- a/proxy/src/test/java/walkpost/proxy/FleetLinkTest.java
+++ b/proxy/src/test/java/walkpost/proxy/FleetLinkTest.java
@@ -10,6 +10,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Base64;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
@@ -29,6 +31,8 @@
 import walkpost.fleet.copy.Fact;
 import walkpost.fleet.copy.Order;
 import walkpost.fleet.member.Standing;
+import walkpost.fleet.shell.Coverage;
+import walkpost.fleet.shell.FleetHandle;
 
 /** A proxy in a fleet that the test plays: what operators may call, what it obeys and what it tells. */
 class FleetLinkTest {
@@ -81,7 +85,7 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"fleet now\n", "orders all\n", "facts\n", "facts a b\n", "exclude s0 fleet\n", "exclude s0 fleet -\n",
+    @ValueSource(strings = {"fleet now\n", "orders all\n", "held s0\n", "held s0 -\n", "held s0 o1 o2\n", "facts\n", "facts a b\n", "exclude s0 fleet\n", "exclude s0 fleet -\n",
         "exclude s0 float o1\n", "exclude s0 fleet o1 o0 more\n",
         "exclude s0 fleet 1234567890123456789012345678901234567890123456789012345678901234X\n"})
     void whatMakesNoSenseIsNotOrdered(String call) throws Exception {
@@ -95,7 +99,7 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"fleet\n", "orders\n", "facts proxy\n", "exclude s0 fleet o1\n", "include s0 fleet o1 -\n"})
+    @ValueSource(strings = {"fleet\n", "orders\n", "facts proxy\n", "held s0 o1\n", "exclude s0 fleet o1\n", "include s0 fleet o1 -\n"})
     void withoutAFleetItSaysSo(String call) throws Exception {
         try (var backend = new Peer(); var proxy = Fixture.operated((event, actions) -> { }, temp, backend)) {
             assertThat(proxy.call(call)).startsWith("FAILURE ").contains("WALKPOST_FLEET");
@@ -131,6 +135,46 @@
         }
     }
 
+    @Test
+    void tellsOperatorsHowAnObserverStandsToItsVoters() throws Exception {
+        fleet.voters = List.of("v1", "v2", "v3");
+        fleet.feeds = List.of("v2", "v3");
+        fleet.lives = Map.of("north", 40, "south", 38);
+        fleet.controlAgeUs = 1_500_999;
+        fleet.silent = List.of("v1");
+        fleet.member("n0", Standing.ALIVE);
+        try (var proxy = proxy()) {
+            fleet.levels(true);
+            assertThat(json(proxy.call("fleet\n"))).isEqualTo(Config.JSON.readTree("""
+                    {"name":"n0","level":true,"members":[{"name":"n0","standing":"ALIVE","incarnation":1,"address":"127.0.0.1:7401"}],
+                     "voters":["v1","v2","v3"],"feeds":["v2","v3"],"lives":{"north":40,"south":38},"control_age_ms":1500,
+                     "counters":{"sent":7}}"""));
+            fleet.controlAgeUs = FleetHandle.NEVER_US;
+            assertThat(json(proxy.call("fleet\n")).get("control_age_ms").isNull()).isTrue();
+            assertThat(json(proxy.call("facts verdict\n"))).isEqualTo(Config.JSON.readTree("""
+                    {"bound_ms":3600000,"silent":["v1"],"facts":[]}"""));
+        }
+    }
+
+    @Test
+    void tellsByHowManyAnOrderIsHeldAndWhoLacksIt() throws Exception {
+        try (var proxy = proxy(); var door = proxy.door()) {
+            door.send("held s0 o1\n");
+            // Nobody is held up while voters are asked.
+            assertThat(proxy.call("readyz\n")).isNotEmpty();
+            fleet.coverage.complete(new Coverage(8, 9, List.of("n4"), List.of("v3")));
+            assertThat(json(door.rest())).isEqualTo(Config.JSON.readTree("""
+                    {"held":8,"of":9,"lacking":["n4"],"silent":["v3"]}"""));
+            assertThat(fleet.asked).containsExactly("exclusion s0 o1");
+        }
+        var all = new FakeFleet(LONG_US);
+        var why = new FleetException.BadCall("all members of this fleet vote");
+        all.coverage.completeExceptionally(why);
+        try (var proxy = Fixture.inFleet(() -> all, null, (event, actions) -> { }, temp)) {
+            assertThat(proxy.call("held s0 o1\n")).isEqualTo("FAILURE " + why.getMessage() + "\n");
+        }
+    }
+
     /** Out where either says so, in use again where neither does; and nobody hears of it more often than that. */
     @Test
     void aServerIsOutWhereTheDoorOrTheFleetSaysSo() throws Exception {
