--- a/proxy/src/test/java/walkpost/proxy/FleetSwitchTest.java
+++ b/proxy/src/test/java/walkpost/proxy/FleetSwitchTest.java
@@ -59,7 +59,8 @@
 
     @Test
     void aProxyIsAMemberWhereAFileIsNamed() throws Exception {
-        assertThat(start(fleet("127.0.0.1:0"))).anyMatch(line -> line.contains("walkpost.fleet.shell.Fleet "));
+        assertThat(start(fleet("127.0.0.1:0"))).anyMatch(line -> line.contains("walkpost.fleet.shell.Fleet "))
+                .noneMatch(line -> line.contains("walkpost.fleet.observe.") && !line.contains("walkpost.fleet.observe.ObserveMessage"));
     }
 
     @Test
