--- a/proxy/src/main/java/walkpost/proxy/FleetLink.java
+++ b/proxy/src/main/java/walkpost/proxy/FleetLink.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiFunction;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import walkpost.fleet.FleetException;
@@ -214,6 +215,13 @@
             fleet.members().stream().sorted(Comparator.comparing((Member m) -> m.life().name())).forEach(m -> members.addObject()
                     .put("name", m.life().name()).put("standing", m.standing().name()).put("incarnation", m.life().incarnation())
                     .put("address", m.address().toString()));
+            if (!fleet.voters().isEmpty()) {
+                long ageUs = fleet.controlAgeUs();
+                json.set("voters", Config.JSON.valueToTree(fleet.voters()));
+                json.set("feeds", Config.JSON.valueToTree(fleet.feeds()));
+                json.set("lives", Config.JSON.valueToTree(fleet.lives()));
+                json.put("control_age_ms", ageUs >= FleetHandle.NEVER_US ? null : (Long) (ageUs / 1_000));
+            }
             json.set("counters", Config.JSON.valueToTree(fleet.counters()));
             return json;
         });
@@ -238,11 +246,14 @@
 
     @Override
     public CompletionStage<String> facts(String topic) {
-        return answer(fleet -> {
+        return asked(fleet -> fleet.facts(topic), (fleet, heard) -> {
             long boundUs = fleet.boundUs(topic);
             ObjectNode json = Config.JSON.createObjectNode().put("bound_ms", boundUs / 1_000);
+            if (!fleet.voters().isEmpty()) {
+                json.set("silent", Config.JSON.valueToTree(heard.silent()));
+            }
             ArrayNode facts = json.putArray("facts");
-            for (Fact fact : fleet.facts(topic)) {
+            for (Fact fact : heard.facts()) {
                 ObjectNode one = facts.addObject().put("subject", fact.key().subject()).put("writer", fact.key().writer());
                 one.set("payload", value(fact.payload()));
                 one.put("age_ms", fact.ageUs() / 1_000).put("stale", fact.ageUs() > boundUs);
@@ -251,6 +262,20 @@
         });
     }
 
+    @Override
+    public CompletionStage<String> held(String server, String id) {
+        String wrong = wrong(server, id);
+        if (wrong != null) {
+            return CompletableFuture.completedFuture("FAILURE " + wrong);
+        }
+        return asked(fleet -> fleet.held(new Order.Key(EXCLUSION, server), id), (fleet, found) -> {
+            ObjectNode json = Config.JSON.createObjectNode().put("held", found.held()).put("of", found.of());
+            json.set("lacking", Config.JSON.valueToTree(found.lacking()));
+            json.set("silent", Config.JSON.valueToTree(found.silent()));
+            return json;
+        });
+    }
+
     @Override
     public CompletionStage<String> order(String server, boolean out, String id, String replaces) {
         FleetHandle fleet = handle;
@@ -303,6 +328,15 @@
                 : CompletableFuture.supplyAsync(() -> "SUCCESS " + copy.apply(fleet)).exceptionally(this::failure);
     }
 
+    /** Answers with what others were asked. */
+    private <T> CompletionStage<String> asked(Function<FleetHandle, CompletionStage<T>> question,
+            BiFunction<FleetHandle, T, JsonNode> answer) {
+        FleetHandle fleet = handle;
+        return fleet == null ? CompletableFuture.completedFuture("FAILURE " + absent)
+                : CompletableFuture.supplyAsync(() -> question.apply(fleet)).thenCompose(stage -> stage)
+                        .thenApplyAsync(found -> "SUCCESS " + answer.apply(fleet, found)).exceptionally(this::failure);
+    }
+
     /** Returns a payload as JSON; one that is none, from a faulty writer, as a text. */
     private static JsonNode value(String payload) {
         try {
