Put the lab's processes on cores that the lab itself may use

Cores took the numbers from 0 to as many as it may use less one. Under a mask such as 5-7 its children, and the lab itself, left the mask for cores 0 to 2, which others may hold. The numbers now come from the mask that the lab begins with; without a mask they are as before.

--- a/lab/src/main/java/walkpost/lab/process/Cores.java
+++ b/lab/src/main/java/walkpost/lab/process/Cores.java
@@ -1,7 +1,10 @@
 package walkpost.lab.process;
 
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -12,14 +15,41 @@
  */
 public final class Cores {
     private static final int LAB = 2;
-    /** As it is when the lab begins: the virtual machine counts no more than it may use. */
-    private static final int ALL = Runtime.getRuntime().availableProcessors();
+    private static final String ALLOWED = "Cpus_allowed_list:";
+    /** The numbers of the cores that the lab may use, as it is when it begins: it may have been given some of the machine's only. */
+    private static final List<Integer> CORES = mine();
+    private static final int ALL = CORES.size();
 
     /** Plays that go on at the same time begin at different cores. */
     private static final int SPREAD = 97;
 
     private Cores() { }
 
+    private static List<Integer> mine() {
+        // The virtual machine counts no more than it may use, also where a quota rather than a mask says how many.
+        int count = Runtime.getRuntime().availableProcessors();
+        List<Integer> all = IntStream.range(0, count).boxed().toList();
+        try {
+            for (String line : Files.readAllLines(Path.of("/proc/self/status"))) {
+                if (line.startsWith(ALLOWED)) {
+                    List<Integer> allowed = listed(line.substring(ALLOWED.length()).strip());
+                    return allowed.size() < count ? all : allowed.subList(0, count);
+                }
+            }
+        } catch (IOException | NumberFormatException e) {
+            return all;
+        }
+        return all;
+    }
+
+    /** Reads the kernel's way to list cores, such as {@code 0-2,5}. */
+    static List<Integer> listed(String text) {
+        return Arrays.stream(text.split(",")).flatMap(part -> {
+            String[] ends = part.split("-");
+            return IntStream.rangeClosed(Integer.parseInt(ends[0]), Integer.parseInt(ends[ends.length - 1])).boxed();
+        }).toList();
+    }
+
     /** Returns the number, for {@link #of}, of the first proxy of the play in a folder. */
     static int first(Path play) {
         return Math.floorMod(play.hashCode(), SPREAD);
@@ -27,7 +57,7 @@
 
     /** Returns the core of a process of a number. */
     static int of(int number) {
-        return ALL > LAB ? LAB + number % (ALL - LAB) : number % ALL;
+        return CORES.get(ALL > LAB ? LAB + number % (ALL - LAB) : number % ALL);
     }
 
     /**
@@ -41,7 +71,7 @@
             return;
         }
         Set<Integer> theirs = IntStream.range(0, proxies).mapToObj(n -> of(first(play) + n)).collect(Collectors.toSet());
-        String ours = IntStream.range(0, ALL).filter(core -> !theirs.contains(core)).mapToObj(Integer::toString)
+        String ours = CORES.stream().filter(core -> !theirs.contains(core)).map(core -> Integer.toString(core))
                 .collect(Collectors.joining(","));
         Process set = new ProcessBuilder("taskset", "-a", "-c", "-p", ours, Long.toString(ProcessHandle.current().pid()))
                 .redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
