Add commands for members that serve nothing: one, or many in a process

A fleet of few voters needs processes for them on machines set aside, and a fleet of 590 can't be tried with 590 proxies on one machine.

--- a/app/src/main/java/walkpost/app/LabCommand.java
+++ b/app/src/main/java/walkpost/app/LabCommand.java
@@ -88,6 +88,9 @@
         }
         verdict.unmet().forEach(u -> out.println("not met: " + u));
         verdict.unjudged().forEach(u -> out.println("not judged, as the lab ran late: " + u));
+        if (verdict.fleet() != null) {
+            out.println(verdict.fleet().line());
+        }
         out.println(verdict.line());
         return switch (verdict.word()) {
             case KEPT -> ExitStatus.FINE;
--- a/app/src/main/java/walkpost/app/Main.java
+++ b/app/src/main/java/walkpost/app/Main.java
@@ -6,6 +6,7 @@
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.HelpCommand;
+import walkpost.fleet.FleetException;
 import walkpost.lab.scenario.BadScenario;
 import walkpost.proxy.Serve;
 
@@ -19,7 +20,8 @@
     /** Every command; each is told in its own class. */
     @Command(name = "walkpost", mixinStandardHelpOptions = true, versionProvider = Version.class, sortOptions = false,
             description = "A reverse proxy for servers of unequal speed, and the lab that proves it.",
-            subcommands = {ServeCommand.class, RehearseCommand.class, DrillCommand.class, DemoCommand.class, LabCommand.class,
+            subcommands = {ServeCommand.class, RehearseCommand.class, DrillCommand.class, MemberCommand.class, HollowCommand.class,
+                DemoCommand.class, LabCommand.class,
                 AutoComplete.GenerateCompletion.class, HelpCommand.class},
             exitCodeListHeading = "%nExit status:%n",
             exitCodeList = {"0:fine", "1:a rule was broken", "2:usage, or a file that is wrong",
@@ -82,7 +84,7 @@
         var line = new CommandLine(new Walkpost()).setOut(out).setErr(err);
         line.setExecutionExceptionHandler((e, command, parsed) -> {
             // These say all that their reader needs; anything else is a mistake of ours, and its kind is part of it.
-            boolean told = e instanceof BadScenario || e instanceof IOException && e.getMessage() != null;
+            boolean told = e instanceof BadScenario || e instanceof FleetException || e instanceof IOException && e.getMessage() != null;
             command.getErr().println("walkpost: " + (told ? e.getMessage() : e));
             return ExitStatus.USAGE;
         });
