Play voters and hollow members as processes beside the proxies

A play had proxies alone, all of them voting, with the lab between each two: 48 at most. [fleet] now takes 'voters' and 'hollow', faults hit them ('voters', 'hollow'), and 'in_force' has every order judged ('order_late'): at each proxy and each hollow member in reach, by what doors show and processes print. The verdict has what members cost and how soon orders were in force.

--- a/lab/src/main/java/walkpost/lab/Lab.java
+++ b/lab/src/main/java/walkpost/lab/Lab.java
@@ -98,7 +98,7 @@
         }
         JSON.writeValue(out.resolve(PLAYED).toFile(), Map.of("seed", seed, "program", program == null ? "none" : program.name(),
                 "other", other == null ? "none" : other.name()));
-        Cores.keepLabOff(out, program == null ? 0 : read.fleet().proxies());
+        Cores.keepLabOff(out, program == null ? 0 : read.processes());
         var play = new Play(read, seed, program, other, out, progress);
         Thread player = Thread.currentThread();
         // Ctrl-C, SIGTERM or a terminal that goes away: what was seen until then is still judged.
--- a/lab/src/main/java/walkpost/lab/ledger/Seen.java
+++ b/lab/src/main/java/walkpost/lab/ledger/Seen.java
@@ -24,7 +24,9 @@
     @JsonSubTypes.Type(value = Seen.Held.class, name = "held"), @JsonSubTypes.Type(value = Seen.Finished.class, name = "finished"),
     @JsonSubTypes.Type(value = Seen.DoorCalled.class, name = "door_called"),
     @JsonSubTypes.Type(value = Seen.DoorAnswered.class, name = "door_answered"),
-    @JsonSubTypes.Type(value = Seen.CopyGone.class, name = "copy_gone")})
+    @JsonSubTypes.Type(value = Seen.CopyGone.class, name = "copy_gone"),
+    @JsonSubTypes.Type(value = Seen.SideIs.class, name = "side"), @JsonSubTypes.Type(value = Seen.SideUsed.class, name = "side_used"),
+    @JsonSubTypes.Type(value = Seen.Said.class, name = "said")})
 public sealed interface Seen {
     /** Returns the moment. */
     long t();
@@ -137,6 +139,15 @@
     /** A member's new life finds nothing of the copy that its former lives held. */
     record CopyGone(long t, int proxy) implements Seen { }
 
+    /** A process beside the proxies changed, as {@link ProxyIs} has it for those; {@code process} is its name. */
+    record SideIs(long t, String process, Life life, String detail) implements Seen { }
+
+    /** What a process beside the proxies had used by now, since it was started. */
+    record SideUsed(long t, String process, long cpuMs, long memoryKb, int descriptors) implements Seen { }
+
+    /** A line, an object, that a process beside the proxies has written on its standard output by now. */
+    record Said(long t, String process, String line) implements Seen { }
+
     /** What a proxy had used by now. */
     record Used(long t, int proxy, long cpuMs, long memoryKb, int descriptors) implements Seen { }
 
--- a/lab/src/main/java/walkpost/lab/play/Faults.java
+++ b/lab/src/main/java/walkpost/lab/play/Faults.java
@@ -7,7 +7,9 @@
 import walkpost.lab.discovery.Entry;
 import walkpost.lab.ledger.Seen;
 import walkpost.lab.net.Stage;
+import walkpost.lab.process.Place;
 import walkpost.lab.process.ProxyProcess;
+import walkpost.lab.process.SideProcess;
 import walkpost.lab.scenario.Plan;
 import walkpost.lab.scenario.Plan.PlannedFault;
 import walkpost.lab.scenario.Scenario;
@@ -54,14 +56,14 @@
         Scenario.Fault fault = planned.fault();
         note(planned, false);
         switch (fault.act()) {
-            case KILL -> each(planned, proxy -> {
-                proxies().get(proxy).kill();
-                back(fault, proxy);
+            case KILL -> each(planned, place -> {
+                places(fault).get(place).kill();
+                back(fault, place);
             });
             case TERM -> each(planned, proxy -> terminate(fault, proxy));
-            case STOP -> each(planned, proxy -> {
-                proxies().get(proxy).stop();
-                after(fault.lengthUs(), proxies().get(proxy)::go);
+            case STOP -> each(planned, place -> {
+                places(fault).get(place).stop();
+                after(fault.lengthUs(), places(fault).get(place)::go);
             });
             case HUP -> each(planned, proxy -> proxies().get(proxy).hangUp());
             case ISOLATE -> each(planned, proxy -> {
@@ -108,6 +110,14 @@
         return fleet.proxies();
     }
 
+    private List<? extends Place> places(Scenario.Fault fault) {
+        return switch (fault.whom()) {
+            case PROXIES -> fleet.proxies();
+            case VOTERS -> fleet.sides().voters();
+            case HOLLOW -> fleet.sides().hollow();
+        };
+    }
+
     private void note(PlannedFault fault, boolean ended) {
         stage.ledger().note(new Seen.FaultIs(now(), fault.number(), fault.fault().act().name(), ended, fault.hits()));
     }
@@ -134,7 +144,10 @@
     }
 
     private void back(Scenario.Fault fault, int proxy) {
-        if (fault.backUs() >= 0) {
+        if (fault.backUs() >= 0 && fault.whom() != Scenario.Whom.PROXIES) {
+            List<SideProcess> of = fault.whom() == Scenario.Whom.VOTERS ? fleet.sides().voters() : fleet.sides().hollow();
+            after(fault.backUs(), () -> Sides.start(of.get(proxy)));
+        } else if (fault.backUs() >= 0) {
             if (!fault.keep()) {
                 fleet.net().empty(proxy);
             }
@@ -148,16 +161,17 @@
     }
 
     private void terminate(Scenario.Fault fault, int proxy) {
-        proxies().get(proxy).terminate();
+        places(fault).get(proxy).terminate();
         long longest = stage.scenario().classes().stream().mapToLong(Scenario.RequestClass::deadlineUs).max().orElse(0);
         lookForEnd(fault, proxy, now() + Math.min(longest, MOST_DEADLINE_US) + KILL_US);
     }
 
     private void lookForEnd(Scenario.Fault fault, int proxy, long killAt) {
-        if (proxies().get(proxy).alive() && now() >= killAt) {
-            proxies().get(proxy).kill();
+        Place place = places(fault).get(proxy);
+        if (place.alive() && now() >= killAt) {
+            place.kill();
         }
-        if (proxies().get(proxy).alive()) {
+        if (place.alive()) {
             after(LOOK_US, () -> lookForEnd(fault, proxy, killAt));
         } else {
             back(fault, proxy);
--- a/lab/src/main/java/walkpost/lab/play/Fleet.java
+++ b/lab/src/main/java/walkpost/lab/play/Fleet.java
@@ -74,7 +74,7 @@
             known.add(Loops.on(loop, () -> discovery.known(of)));
             watches.add(new ReadyWatch(stage, front, number, proxy.address()));
         }
-        net = direct || stage.scenario().fleet().members() == null ? null : new MemberNet(stage, proxies);
+        net = direct || stage.scenario().fleet().members() == null ? null : new MemberNet(stage, program, proxies, folder);
         doors = net == null ? null : new Doors(stage, net.doors(), proxy -> proxies.get(proxy).alive());
         var addresses = new ArrayList<>(proxies.stream().map(ProxyProcess::address).toList());
         for (int place = 0; direct && place < places; place++) {
@@ -114,6 +114,11 @@
         return net;
     }
 
+    /** Returns the processes beside the proxies; null where there are none. */
+    Sides sides() {
+        return net == null ? null : net.sides();
+    }
+
     /** Begins to ask at the doors of members, and to make the calls that are planned. */
     void call(Timeline timeline) {
         if (doors != null) {
@@ -156,6 +161,10 @@
     /** Notes what everybody has used. */
     void noteUse() {
         proxies.forEach(ProxyProcess::noteUse);
+        if (sides() != null) {
+            sides().listen();
+            sides().noteUse();
+        }
         stands.forEach(stand -> stand.loop().execute(stand::noteUse));
     }
 
--- a/lab/src/main/java/walkpost/lab/play/MemberNet.java
+++ b/lab/src/main/java/walkpost/lab/play/MemberNet.java
@@ -17,6 +17,7 @@
 import walkpost.lab.net.Loops;
 import walkpost.lab.net.Stage;
 import walkpost.lab.process.MemberFiles;
+import walkpost.lab.process.Program;
 import walkpost.lab.process.ProxyProcess;
 import walkpost.lab.relay.Conditions;
 import walkpost.lab.relay.Mesh;
@@ -34,7 +35,10 @@
     private final Stage stage;
     private final Members members;
     private final Conditions usual;
+    /** Null where some processes vote: members reach those, and each other, without the lab between them. */
     private final Mesh mesh;
+    /** Null where the proxies vote. */
+    private final Sides sides;
     private final List<MemberFiles> files = new ArrayList<>();
     private final List<InetSocketAddress> doors = new ArrayList<>();
     private final Map<Integer, PlannedFault> going = new LinkedHashMap<>();
@@ -46,7 +50,7 @@
      *
      * @throws IOException if addresses can't be had or files not be written
      */
-    MemberNet(Stage stage, List<ProxyProcess> proxies) throws IOException {
+    MemberNet(Stage stage, Program program, List<ProxyProcess> proxies, Path folder) throws IOException {
         this.stage = stage;
         members = stage.scenario().fleet().members();
         usual = new Conditions(stage.scenario().network().latencyUs(), stage.scenario().network().jitterUs(), 0, 0, 0);
@@ -57,29 +61,48 @@
             doors.add(free(host(member, 241)));
             hosts.add(host(member, 243));
         }
+        var random = stage.streams().of("fleet secret");
+        String secret = String.format("%016x%016x", random.nextLong(), random.nextLong());
+        for (ProxyProcess proxy : proxies) {
+            files.add(new MemberFiles(members, proxy.folder()));
+        }
+        if (members.voters() > 0) {
+            mesh = null;
+            sides = new Sides(stage, program, proxies.size(), secret, folder);
+            for (int member = 0; member < proxies.size(); member++) {
+                tell(proxies.get(member), member, sides.write(member, files.get(member), own.get(member)));
+            }
+            return;
+        }
+        sides = null;
         var loop = stage.loops().of(1);
         mesh = new Mesh(loop, stage.clock(), stage.streams(), usual, own);
         List<InetSocketAddress> reached = Loops.on(loop, () -> {
             mesh.open(hosts);
             return IntStream.range(0, own.size()).mapToObj(mesh::address).toList();
         });
-        var random = stage.streams().of("fleet secret");
-        String secret = String.format("%016x%016x", random.nextLong(), random.nextLong());
         for (int member = 0; member < proxies.size(); member++) {
-            files.add(new MemberFiles(members, proxies.get(member).folder()));
-            Path file = files.get(member).write(member, own.get(member), reached, secret);
-            InetSocketAddress door = doors.get(member);
-            proxies.get(member).tell(Map.of(MemberFiles.VARIABLE, file.toString(), "PROXY_OPERATOR",
-                    door.getAddress().getHostAddress() + ":" + door.getPort()));
+            tell(proxies.get(member), member, files.get(member).write(member, own.get(member), reached, secret));
         }
     }
 
+    private void tell(ProxyProcess proxy, int member, Path file) {
+        InetSocketAddress door = doors.get(member);
+        proxy.tell(Map.of(MemberFiles.VARIABLE, file.toString(), "PROXY_OPERATOR",
+                door.getAddress().getHostAddress() + ":" + door.getPort()));
+    }
+
+    /** Returns the processes beside the proxies; null where there are none. */
+    Sides sides() {
+        return sides;
+    }
+
     private static String host(int member, int part) {
         return "127." + (1 + member) + "." + part + ".1";
     }
 
     /** Returns an address that is free now, over TCP and UDP. */
-    private static InetSocketAddress free(String host) throws IOException {
+    static InetSocketAddress free(String host) throws IOException {
         InetAddress address = InetAddress.getByName(host);
         IOException last = null;
         for (int tries = 0; tries < MOST_TRIES; tries++) {
@@ -151,6 +174,11 @@
 
     /** Ends the mesh, with all that is under way. */
     void close() {
-        Loops.run(stage.loops().of(1), mesh::close);
+        if (sides != null) {
+            sides.close();
+        }
+        if (mesh != null) {
+            Loops.run(stage.loops().of(1), mesh::close);
+        }
     }
 }
--- a/lab/src/main/java/walkpost/lab/play/Play.java
+++ b/lab/src/main/java/walkpost/lab/play/Play.java
@@ -35,6 +35,8 @@
     private static final String BOARD = "board";
     private static final int LOOPS = 2;
     private static final long READY_US = 30_000_000;
+    /** The same with voters and hollow members beside: these are let in by and by. */
+    private static final long READY_BESIDE_US = 120_000_000;
     private static final long SOON_US = 300_000;
     private static final long SECOND = 1_000_000;
     /** The last answers are waited for so long after the last request's time. */
@@ -109,6 +111,11 @@
     }
 
     private void play(Stage stage, Fleet fleet) throws IOException {
+        Sides sides = fleet.sides();
+        if (sides != null) {
+            stage.clock().zeroIn(READY_BESIDE_US);
+            sides.start();
+        }
         for (int proxy = 0; proxy < fleet.proxies().size(); proxy++) {
             fleet.start(proxy);
         }
@@ -178,13 +185,19 @@
         }
     }
 
-    /** Clients arrive once all proxies are ready, or after 30 s (DEPLOY). */
+    /** Clients arrive once all proxies are ready, and hollow members have caught up, or after 30 s (DEPLOY), 120 s beside others. */
     private void awaitReady(Stage stage, Fleet fleet) {
         int count = fleet.proxies().size();
-        while (!stopped && stage.clock().now() < 0 && fleet.front().admittedCount() < count
-                && fleet.proxies().stream().allMatch(p -> p.alive())) {
-            LockSupport.parkNanos(10_000_000);
-            progress.at(0, fleet.front().admittedCount() + " of " + count + " proxies ready");
+        Sides sides = fleet.sides();
+        int hollow = sides == null ? 0 : sides.hollowMembers();
+        while (!stopped && stage.clock().now() < 0 && (fleet.front().admittedCount() < count || hollow > 0 && sides.level() < hollow)
+                && fleet.proxies().stream().allMatch(p -> p.alive()) && (sides == null || sides.alive())) {
+            LockSupport.parkNanos(sides == null ? 10_000_000 : 100_000_000);
+            if (sides != null) {
+                sides.listen();
+            }
+            progress.at(0, fleet.front().admittedCount() + " of " + count + " proxies ready"
+                    + (hollow == 0 ? "" : ", " + sides.level() + " of " + hollow + " hollow members level"));
         }
     }
 }
--- a/lab/src/main/java/walkpost/lab/process/MemberFiles.java
+++ b/lab/src/main/java/walkpost/lab/process/MemberFiles.java
@@ -41,15 +41,42 @@
      * @throws IOException if they can't be written
      */
     public Path write(int number, InetSocketAddress bind, List<InetSocketAddress> advertised, String secret) throws IOException {
-        ObjectNode file = JsonNodeFactory.instance.objectNode();
-        file.put("format", 1).put("cluster", "lab").put("name", "n" + number).put("bind", text(bind))
-                .put("advertise", text(advertised.get(number)));
+        ObjectNode file = begun(bind).put("name", "n" + number).put("advertise", text(advertised.get(number)));
         ArrayNode names = file.putArray("members");
         IntStream.range(0, advertised.size()).forEach(n -> names.add("n" + n));
+        return written(file, advertised, members.directory(), secret);
+    }
+
+    /**
+     * Writes file and secret where some processes vote and the rest keeps to those; returns where the file is.
+     *
+     * @param name null for one that says its members' names itself
+     * @param bind its own address, at which the others reach it; port 0 for any
+     * @param voters the names of those that vote
+     * @param region where it runs
+     * @param seeds where those that vote are
+     * @throws IOException if they can't be written
+     */
+    public Path write(String name, InetSocketAddress bind, List<String> voters, String region, List<InetSocketAddress> seeds,
+            String secret) throws IOException {
+        ObjectNode file = begun(bind).put("region", region);
+        if (name != null) {
+            file.put("name", name);
+        }
+        ArrayNode names = file.putArray("voters");
+        voters.forEach(names::add);
+        return written(file, seeds, members.directory() && name != null && voters.contains(name), secret);
+    }
+
+    private static ObjectNode begun(InetSocketAddress bind) {
+        return JsonNodeFactory.instance.objectNode().put("format", 1).put("cluster", "lab").put("bind", text(bind));
+    }
+
+    private Path written(ObjectNode file, List<InetSocketAddress> asked, boolean directory, String secret) throws IOException {
         ArrayNode seeds = file.putArray("seeds");
-        advertised.forEach(address -> seeds.add(text(address)));
+        asked.forEach(address -> seeds.add(text(address)));
         file.put("secret", SECRET);
-        if (members.directory()) {
+        if (directory) {
             file.put("directory", DIRECTORY);
         }
         file.put("shards", members.shards());
@@ -70,7 +97,7 @@
         if (!keep) {
             ProxyProcess.remove(folder.resolve(DIRECTORY));
         }
-        return !keep || !members.directory();
+        return !keep || !members.directory() || members.voters() > 0;
     }
 
     private static String text(InetSocketAddress address) {
--- a/lab/src/main/java/walkpost/lab/process/Program.java
+++ b/lab/src/main/java/walkpost/lab/process/Program.java
@@ -20,6 +20,8 @@
 public record Program(String name, Path folder, List<String> command) {
     private static final String PLAIN = "plain:";
     private static final Pattern HEAP = Pattern.compile("-Xmx\\w+");
+    private static final String SERVE = "serve";
+    private static final List<String> SHELL = List.of("/bin/sh", "-c");
     private static final String DEPLOY = "deploy/balancer.toml";
 
     public Program {
@@ -66,11 +68,31 @@
      * @throws IOException if the folder has no deploy file, or that no {@code run}
      */
     public static Program ofCheckout(String name, Path root) throws IOException {
-        return new Program(name, root, List.of("/bin/sh", "-c", deployed(root, "run")));
+        return new Program(name, root, List.of(SHELL.get(0), SHELL.get(1), deployed(root, "run")));
+    }
+
+    /**
+     * Returns what runs another command of the same program, in the place of the one that serves.
+     *
+     * @throws IOException if this is no command that ends with {@code serve}
+     */
+    public Program instead(String... words) throws IOException {
+        var command = new ArrayList<>(this.command);
+        String last = command.remove(command.size() - 1);
+        if (last.equals(SERVE)) {
+            command.addAll(List.of(words));
+        } else if (last.endsWith(" " + SERVE) && command.equals(SHELL)) {
+            // A shell's own words: these take the place of its last one whatever stands in them.
+            command.addAll(List.of(last.substring(0, last.length() - SERVE.length()) + "\"$@\"", name));
+            command.addAll(List.of(words));
+        } else {
+            throw new IOException(name + ": '" + last + "': expected a command that ends with '" + SERVE + "'");
+        }
+        return new Program(name, folder, command);
     }
 
     /** Returns the same with so many bytes for objects, wherever its command says how many. */
-    Program withHeap(long bytes) {
+    public Program withHeap(long bytes) {
         return new Program(name, folder, command.stream().map(part -> HEAP.matcher(part).replaceAll("-Xmx" + bytes)).toList());
     }
 
--- a/lab/src/main/java/walkpost/lab/process/ProxyProcess.java
+++ b/lab/src/main/java/walkpost/lab/process/ProxyProcess.java
@@ -20,7 +20,7 @@
  * A proxy's place in the fleet: its address, its folder and the process that runs there, one life after the other. Used by
  * the play's thread alone, but for the note of a process's end.
  */
-public final class ProxyProcess {
+public final class ProxyProcess implements Place {
     private final Stage stage;
     private Program program;
     private final int number;
@@ -98,12 +98,12 @@
         return address.getAddress().getHostAddress() + ":" + address.getPort();
     }
 
-    /** Returns whether a process runs here. */
+    @Override
     public boolean alive() {
         return child != null && child.alive();
     }
 
-    /** Ends it outright, as a machine ends that dies. */
+    @Override
     public void kill() {
         if (alive()) {
             expected = true;
@@ -112,7 +112,7 @@
         }
     }
 
-    /** Asks it to end. */
+    @Override
     public void terminate() {
         if (alive()) {
             expected = true;
@@ -121,7 +121,7 @@
         }
     }
 
-    /** Lets it stand still. */
+    @Override
     public void stop() {
         if (alive()) {
             note(Seen.Life.STOPPED, "");
@@ -129,7 +129,7 @@
         }
     }
 
-    /** Lets it go on. */
+    @Override
     public void go() {
         if (alive()) {
             child.signal("CONT");
--- a/lab/src/main/java/walkpost/lab/report/Report.java
+++ b/lab/src/main/java/walkpost/lab/report/Report.java
@@ -22,6 +22,7 @@
 import walkpost.lab.scenario.Scenario;
 import walkpost.lab.verdict.Break;
 import walkpost.lab.verdict.Figures;
+import walkpost.lab.verdict.FleetFigures;
 import walkpost.lab.verdict.Lateness;
 import walkpost.lab.verdict.Verdict;
 
@@ -76,6 +77,7 @@
         latency();
         servers();
         proxies();
+        fleet();
         breaks();
         return page.append("</body></html>\n").toString();
     }
@@ -108,8 +110,10 @@
         if (!faults.isEmpty()) {
             page.append("<h2>Faults</h2><table><tr><th>fault</th><th>at</th><th>whom</th></tr>");
             for (Seen.FaultIs fault : faults) {
-                page.append(String.format(Locale.ROOT, "<tr><td>%s %s</td><td>%.2f s</td><td>%s</td></tr>",
-                        fault.act().toLowerCase(Locale.ROOT), fault.ended() ? "ends" : "begins", fault.t() / SECOND, fault.whom()));
+                Scenario.Whom whom = scenario.faults().get(fault.number()).whom();
+                page.append(String.format(Locale.ROOT, "<tr><td>%s %s</td><td>%.2f s</td><td>%s%s</td></tr>",
+                        fault.act().toLowerCase(Locale.ROOT), fault.ended() ? "ends" : "begins", fault.t() / SECOND,
+                        whom == Scenario.Whom.PROXIES ? "" : whom.name().toLowerCase(Locale.ROOT) + " ", fault.whom()));
             }
             page.append("</table>");
         }
@@ -195,6 +199,21 @@
         }
     }
 
+    private void fleet() {
+        FleetFigures f = verdict.fleet();
+        if (f == null) {
+            return;
+        }
+        page.append("<h2>Members</h2><p>").append(escaped(f.line())).append(String.format(Locale.ROOT, ". Processes beside the proxies had "
+                + "%d descriptors open at the most, and %d MiB in all; those killed were back with all orders %.0f ms after they were "
+                + "ready.</p>", f.descriptors(), f.memoryMb(), f.backMs()));
+        page.append("<table><tr><th>order</th><th>in force at</th><th>of</th><th>p50</th><th>p99</th><th>all</th><th>last proxy shows it"
+                + "</th></tr>");
+        f.orders().forEach(o -> page.append(String.format(Locale.ROOT, "<tr><td>%s</td><td>%d</td><td>%d</td><td>%.0f ms</td><td>%.0f ms</td>"
+                + "<td>%.0f ms</td><td>%.0f ms</td></tr>", escaped(o.order()), o.held(), o.of(), o.p50Ms(), o.p99Ms(), o.mostMs(), o.proxiesMs())));
+        page.append("</table>");
+    }
+
     private static <S extends Seen> void rates(XYChart chart, String name, List<S> of, ToDoubleFunction<S> sum, double unit) {
         var x = new ArrayList<Double>();
         var y = new ArrayList<Double>();
--- a/lab/src/main/java/walkpost/lab/scenario/Members.java
+++ b/lab/src/main/java/walkpost/lab/scenario/Members.java
@@ -11,17 +11,37 @@
  * @param boundsUs how old facts of a topic may become; topics left out have the program's own bound
  * @param convergeUs after so long without trouble copies are alike
  * @param noticeUs after so long without trouble members know who lives
+ * @param inForceUs after so long an order is in force at all that are in reach; 0 where that is not judged
  * @param pollUs between one round of questions at a proxy's door and the next
+ * @param voters how many processes of their own vote, and the proxies do not; 0 where the proxies vote
+ * @param hollow members that serve nothing, many to a process; null where there are none
  * @param calls what is asked at doors besides
  */
-public record Members(boolean directory, int shards, Map<String, Long> boundsUs, long convergeUs, long noticeUs, long pollUs,
-        List<Call> calls) {
+public record Members(boolean directory, int shards, Map<String, Long> boundsUs, long convergeUs, long noticeUs,
+        long inForceUs, long pollUs, int voters, Hollow hollow, List<Call> calls) {
+    /** What a process with hollow members has said of orders within so long after they came in force stands in its log. */
+    private static final long TOLD_US = 6_000_000;
+
     /** Copies the collections. */
     public Members {
         boundsUs = Map.copyOf(boundsUs);
         calls = List.copyOf(calls);
     }
 
+    /**
+     * Members that serve nothing.
+     *
+     * @param members how many in all
+     * @param processes among how many processes they are dealt out, as evenly as can be
+     * @param heap what the virtual machine of each process may take for objects
+     */
+    public record Hollow(int members, int processes, long heap) {
+        /** Returns how many the process of a number holds. */
+        public int in(int process) {
+            return members / processes + (process < members % processes ? 1 : 0);
+        }
+    }
+
     /**
      * A call at the doors of some proxies.
      *
@@ -39,6 +59,6 @@
 
     /** Returns the longest time that anything is given to settle. */
     public long settleUs() {
-        return Math.max(convergeUs, noticeUs);
+        return Math.max(Math.max(convergeUs, noticeUs), inForceUs > 0 ? inForceUs + TOLD_US : 0);
     }
 }
--- a/lab/src/main/java/walkpost/lab/scenario/MembersReader.java
+++ b/lab/src/main/java/walkpost/lab/scenario/MembersReader.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.regex.MatchResult;
 import java.util.regex.Pattern;
@@ -13,6 +14,12 @@
 final class MembersReader {
     private static final long SECOND = 1_000_000;
     private static final int MOST_SHARDS = 1_024;
+    private static final int MOST_VOTERS = 9;
+    /** A play's processes, whatever they are. */
+    private static final int MOST_PROCESSES = 100;
+    private static final int MOST_HOLLOW = 1_000;
+    private static final long MOST_HEAP = 2L << 30;
+    private static final long HEAP = 192L << 20;
     private static final String EACH = "each";
     /** How a call names a server by its number. */
     private static final Pattern SERVER = Pattern.compile("(?<!\\S)s-(\\d{1,4})(?!\\S)");
@@ -25,6 +32,9 @@
             if (whole.has("calls")) {
                 throw whole.wrong("calls", "'members = true' under [fleet]: others have nobody to call");
             }
+            if (fleet.has("voters")) {
+                throw fleet.wrong("voters", "'members = true' beside it: others have nothing to vote on");
+            }
             return null;
         }
         Table bounds = fleet.table("bounds");
@@ -36,8 +46,64 @@
         for (Table call : whole.tables("calls")) {
             calls.add(call(call, proxies, servers, length));
         }
+        int voters = fleet.has("voters") ? fleet.whole("voters", 1, MOST_VOTERS) : 0;
         return new Members(fleet.flag("directory", true), fleet.whole("shards", 1, MOST_SHARDS, 8), boundsUs,
-                fleet.duration("converge", 10 * SECOND), fleet.duration("notice", 10 * SECOND), fleet.duration("poll", SECOND / 2), calls);
+                fleet.duration("converge", 10 * SECOND), fleet.duration("notice", 10 * SECOND), fleet.duration("in_force", 0),
+                fleet.duration("poll", SECOND / 2), voters, hollow(fleet, proxies, voters), calls);
+    }
+
+    private static Members.Hollow hollow(Table fleet, int proxies, int voters) throws BadScenario {
+        if (!fleet.has("hollow")) {
+            return null;
+        }
+        if (voters == 0) {
+            throw fleet.wrong("hollow", "'voters' beside it: hollow members have no vote");
+        }
+        Table t = fleet.table("hollow");
+        int processes = t.whole("processes", 1, MOST_PROCESSES - proxies - voters);
+        int members = t.whole("members", processes, Math.min(MOST_HOLLOW, Integer.MAX_VALUE / processes) * processes);
+        long heap = t.size("heap", HEAP);
+        if (heap > MOST_HEAP) {
+            throw t.wrong("heap", "2GiB at the most");
+        }
+        t.done();
+        return new Members.Hollow(members, processes, heap);
+    }
+
+    /** Reads which processes a fault hits: proxies, unless it names others in their place. */
+    static Scenario.Whom whom(Table t, Act act, Scenario.Fleet fleet) throws BadScenario {
+        Scenario.Whom whom = Scenario.Whom.PROXIES;
+        for (Scenario.Whom beside : List.of(Scenario.Whom.VOTERS, Scenario.Whom.HOLLOW)) {
+            String field = field(beside);
+            if (t.has(field)) {
+                if (act != Act.KILL && act != Act.TERM && act != Act.STOP) {
+                    throw t.wrong(field, "it under \"kill\", \"term\" or \"stop\" only");
+                }
+                if (count(beside, fleet) == 0) {
+                    throw t.wrong(field, "'" + field + "' under [fleet] as well");
+                }
+                if (whom != Scenario.Whom.PROXIES || t.has(field(Scenario.Whom.PROXIES))) {
+                    throw t.wrong(field, "one of 'proxies', 'voters' and 'hollow'");
+                }
+                whom = beside;
+            }
+        }
+        return whom;
+    }
+
+    /** Returns the name of the field that says whom of a kind a fault hits. */
+    static String field(Scenario.Whom whom) {
+        return whom.name().toLowerCase(Locale.ROOT);
+    }
+
+    /** Returns how many processes of a kind there are. */
+    static int count(Scenario.Whom whom, Scenario.Fleet fleet) {
+        Members members = fleet.members();
+        return switch (whom) {
+            case PROXIES -> fleet.proxies();
+            case VOTERS -> members == null ? 0 : members.voters();
+            case HOLLOW -> members == null || members.hollow() == null ? 0 : members.hollow().processes();
+        };
     }
 
     private static Members.Call call(Table t, int proxies, int servers, long length) throws BadScenario {
@@ -135,13 +201,12 @@
         if (members == null) {
             return;
         }
-        int proxies = scenario.fleet().proxies();
         long last = scenario.faults().stream().filter(f -> f.act().hitsProxies()).mapToLong(f -> Math.max(0, f.when().atUs())
-                + f.lengthUs() + Math.max(0, f.backUs()) + f.stepUs() * proxies).max().orElse(0);
+                + f.lengthUs() + Math.max(0, f.backUs()) + f.stepUs() * scenario.count(f.whom())).max().orElse(0);
         last = Math.max(last, members.calls().stream().mapToLong(Members.Call::atUs).max().orElse(0));
         if (last + members.settleUs() > scenario.lengthUs()) {
             throw t.wrong("length", last / SECOND + " s, when the last fault and call are over, and at least " + members.settleUs() / SECOND
-                    + " s more ('converge', 'notice')");
+                    + " s more ('converge', 'notice', 'in_force')");
         }
     }
 }
--- a/lab/src/main/java/walkpost/lab/scenario/Planner.java
+++ b/lab/src/main/java/walkpost/lab/scenario/Planner.java
@@ -75,14 +75,13 @@
 
     /** Draws whom faults hit, and the servers that faults bring. */
     private List<Plan.PlannedFault> faults() {
-        int proxies = scenario.fleet().proxies();
         int atStart = scenario.servers();
         var faults = new ArrayList<Plan.PlannedFault>();
         for (int number = 0; number < scenario.faults().size(); number++) {
             Scenario.Fault fault = scenario.faults().get(number);
             UniformRandomProvider random = streams.of("fault " + number + " " + fault.act());
             List<Integer> hits = switch (fault.act()) {
-                case KILL, TERM, STOP, HUP, ISOLATE, PART, LINK -> hits(random, fault.target(), proxies);
+                case KILL, TERM, STOP, HUP, ISOLATE, PART, LINK -> hits(random, fault.target(), scenario.count(fault.whom()));
                 case SLOW, ERRORS, CUT, MUTE, RESET, DRAIN, RESTART -> hits(random, fault.target(), atStart);
                 case JOIN -> newcomers(random, number, hits(random, fault.target(), atStart).size());
                 case HEAVY, DISCOVERY, BURST, HOLD -> List.of();
--- a/lab/src/main/java/walkpost/lab/scenario/Scenario.java
+++ b/lab/src/main/java/walkpost/lab/scenario/Scenario.java
@@ -168,6 +168,9 @@
         }
     }
 
+    /** Which processes a fault hits: proxies, or those that vote, or hold hollow members, beside them. */
+    public enum Whom { PROXIES, VOTERS, HOLLOW }
+
     /** Whom a proxy can be cut off from; the front is where clients are. */
     public enum Party { SERVERS, DISCOVERY, CLIENTS }
 
@@ -195,9 +198,10 @@
      * @param keep whether proxies that come back find their directory of orders
      * @param between what it does between members; null where it does nothing there
      * @param silent whether discovery only leaves calls that wait without an answer
+     * @param whom which processes it hits, where it hits any
      */
     public record Fault(Act act, When when, Target target, long lengthUs, long backUs, long stepUs, double size, double times,
-            String requestClass, List<Party> from, boolean other, boolean keep, Between between, boolean silent) { }
+            String requestClass, List<Party> from, boolean other, boolean keep, Between between, boolean silent, Whom whom) { }
 
     /** Peers that don't behave: how many a second send nothing, and how many send what is no request. */
     public record Peers(double silent, double improper) { }
@@ -216,6 +220,16 @@
         return faults.stream().anyMatch(Fault::other);
     }
 
+    /** Returns how many processes there are of a kind. */
+    public int count(Whom whom) {
+        return MembersReader.count(whom, fleet);
+    }
+
+    /** Returns how many processes there are in all. */
+    public int processes() {
+        return count(Whom.PROXIES) + count(Whom.VOTERS) + count(Whom.HOLLOW);
+    }
+
     /** Returns how many servers there are at the start. */
     public int servers() {
         return kinds.stream().mapToInt(Kind::count).sum();
--- a/lab/src/main/java/walkpost/lab/scenario/ScenarioReader.java
+++ b/lab/src/main/java/walkpost/lab/scenario/ScenarioReader.java
@@ -258,6 +258,11 @@
         if (between && fleet.members() == null) {
             throw t.wrong("act", "'members = true' under [fleet]: there is nothing between others");
         }
+        if (between && fleet.members().voters() > 0) {
+            throw t.wrong("act", "no 'voters' under [fleet]: members reach voters without the lab between them");
+        }
+        Scenario.Whom whom = MembersReader.whom(t, act, fleet);
+        boolean proxiesOnly = whom == Scenario.Whom.PROXIES;
         boolean onProxies = switch (act) {
             case KILL, TERM, STOP, HUP, ISOLATE -> true;
             default -> false;
@@ -266,7 +271,8 @@
             case SLOW, ERRORS, CUT, MUTE, RESET, DRAIN, RESTART, JOIN -> true;
             default -> false;
         };
-        Scenario.Target target = between ? MembersReader.target(t, act, proxies) : onProxies ? target(t, "proxies", proxies)
+        Scenario.Target target = between ? MembersReader.target(t, act, proxies) : onProxies ? target(t, MembersReader.field(whom),
+                MembersReader.count(whom, fleet))
                 : onServers ? target(t, "servers", servers) : new Scenario.Target(1, List.of());
         boolean lasts = !(act == Act.KILL || act == Act.TERM || act == Act.HUP || act == Act.JOIN);
         boolean shared = act == Act.ERRORS || act == Act.HEAVY;
@@ -278,8 +284,10 @@
                 sized ? t.number("size", shared ? 0 : 0.01, shared ? 1 : 1_000) : 0,
                 timed ? t.number("times", 0.01, 1_000) : 1, act == Act.HEAVY ? t.text("class") : "",
                 act == Act.ISOLATE ? t.words("from", Scenario.Party.class) : List.of(),
-                onProxies && returns && t.flag("other", false), !(onProxies && returns) || MembersReader.keep(t, fleet),
-                MembersReader.between(t, act, proxies), act == Act.DISCOVERY && t.flag("silent", false));
+                onProxies && returns && proxiesOnly && t.flag("other", false),
+                !(onProxies && returns && proxiesOnly) || MembersReader.keep(t, fleet),
+                MembersReader.between(t, act, proxies), act == Act.DISCOVERY && t.flag("silent", false),
+                whom);
         if (act == Act.HEAVY && classes.stream().noneMatch(c -> c.name().equals(fault.requestClass()))) {
             throw t.wrong("class", "one of " + classes.stream().map(Scenario.RequestClass::name).toList());
         }
--- a/lab/src/main/java/walkpost/lab/verdict/Break.java
+++ b/lab/src/main/java/walkpost/lab/verdict/Break.java
@@ -11,6 +11,6 @@
     public enum Rule {
         ANSWER, DOOR, BODY, REPEAT, STRANGER, DRAIN, COLD, PROCESS,
         /** What follows is about what proxies hold together. */
-        ORDER_LOST, RIVALS_LOST, ORDER_BY_ITSELF, COPIES_DIFFER, EXCLUSION_IGNORED, MEMBER_UNSEEN, FACT_TOO_OLD
+        ORDER_LOST, RIVALS_LOST, ORDER_BY_ITSELF, COPIES_DIFFER, EXCLUSION_IGNORED, MEMBER_UNSEEN, FACT_TOO_OLD, ORDER_LATE
     }
 }
--- a/lab/src/main/java/walkpost/lab/verdict/CopyRules.java
+++ b/lab/src/main/java/walkpost/lab/verdict/CopyRules.java
@@ -33,11 +33,17 @@
         List<CopyView> views = rules.read("orders", CopyView::of);
         new OrderRules(evidence, given, views, breaks).check();
         new ExclusionRules(evidence, given, views, breaks).check();
+        new InForceRules(evidence, given, views, HollowLife.of(evidence), breaks).check();
         var members = new MemberRules(evidence, breaks);
         members.seen(rules.read("fleet", MemberRules.Fleet::of));
         members.facts(rules.read("facts", MemberRules.Facts::of));
     }
 
+    /** Returns what proxies showed of their copies, as far as it can be read. */
+    static List<CopyView> views(Evidence evidence) {
+        return new CopyRules(DoorCall.of(evidence.ledger), broken -> { }).read("orders", CopyView::of);
+    }
+
     /** Reads all answers to a question; one of another form than promised breaks a rule by itself. */
     private <V> List<V> read(String question, BiFunction<DoorCall, JsonNode, V> reader) {
         var views = new ArrayList<V>();
--- a/lab/src/main/java/walkpost/lab/verdict/ProcessRules.java
+++ b/lab/src/main/java/walkpost/lab/verdict/ProcessRules.java
@@ -21,6 +21,11 @@
                 breaks.accept(new Break(Rule.PROCESS, is.t(), is.proxy(), "", "the process ended: " + is.detail()));
             }
         }
+        for (Seen.SideIs is : evidence.all(Seen.SideIs.class)) {
+            if (is.life() == Seen.Life.ENDED && is.detail().contains("by itself")) {
+                breaks.accept(new Break(Rule.PROCESS, is.t(), -1, is.process(), "the process ended: " + is.detail()));
+            }
+        }
         var over = new HashSet<String>();
         for (Seen.Used used : evidence.all(Seen.Used.class)) {
             limit(over, used, "memory in KiB", used.memoryKb(), evidence.scenario.fleet().memory() >> 10);
--- a/lab/src/main/java/walkpost/lab/verdict/Verdict.java
+++ b/lab/src/main/java/walkpost/lab/verdict/Verdict.java
@@ -24,9 +24,10 @@
  * @param unjudged the expectations of which that can't be said
  * @param rooms how far lateness leaves the figures open of which something may be expected, by their names in a scenario
  * @param labCpuMs what the lab itself used
+ * @param fleet what members cost, and how soon orders were in force; null where no processes vote beside the proxies
  */
 public record Verdict(Word word, boolean cut, String scenario, long seed, String program, Figures figures, List<Break> breaks,
-        int excused, List<String> unmet, List<String> unjudged, Lateness lateness, Map<String, Room> rooms, long labCpuMs) {
+        int excused, List<String> unmet, List<String> unjudged, Lateness lateness, Map<String, Room> rooms, long labCpuMs, FleetFigures fleet) {
     /** The share of requests served in time in the last quarter, by its name in a scenario. */
     public static final String LAST_SERVED = "last_served";
 
@@ -69,7 +70,7 @@
         Word word = !breaks.isEmpty() || !unmet.isEmpty() ? Word.BROKEN : unjudged.isEmpty() ? Word.KEPT : Word.LATE;
         return new Verdict(word, record.cut() || !end.whole(), scenario.name(), plan.seed(), program, figures,
                 List.copyOf(breaks), limits.excused(), List.copyOf(unmet), List.copyOf(unjudged), Lateness.of(outcomes, end),
-                Collections.unmodifiableMap(rooms), end.labCpuMs());
+                Collections.unmodifiableMap(rooms), end.labCpuMs(), FleetFigures.of(evidence));
     }
 
     private static Map<String, Double> expected(Scenario.Expect expect) {
--- a/lab/src/test/java/walkpost/lab/scenario/MembersReaderTest.java
+++ b/lab/src/test/java/walkpost/lab/scenario/MembersReaderTest.java
@@ -84,6 +84,78 @@
         assertThat(groups.stream().flatMap(List::stream).sorted().toList()).containsExactly(0, 1, 2, 3, 4);
     }
 
+    private static final String BESIDE = ScenarioReaderTest.SMALL.replace("length = \"10s\"", "length = \"60s\"")
+            .replace("proxies = 2", """
+            proxies = 2
+            members = true
+            voters = 3
+            in_force = "12s"
+            [fleet.hollow]
+            members = 25
+            processes = 4
+            heap = "96MiB"
+            """) + """
+            keep = false
+            [[faults]]
+            act = "kill"
+            at = "5s"
+            voters = [2]
+            back = "2s"
+            [[faults]]
+            act = "stop"
+            at = "9s"
+            hollow = 0.5
+            length = "4s"
+            """;
+
+    @Test
+    void votersAndHollowMembersAreProcessesOfTheirOwn() throws BadScenario {
+        Scenario scenario = ScenarioReader.parse(BESIDE);
+        Members members = scenario.fleet().members();
+        assertThat(members.voters()).isEqualTo(3);
+        assertThat(members.inForceUs()).isEqualTo(12_000_000);
+        assertThat(members.hollow()).isEqualTo(new Members.Hollow(25, 4, 96 << 20));
+        assertThat(List.of(members.hollow().in(0), members.hollow().in(1), members.hollow().in(3))).containsExactly(7, 6, 6);
+        assertThat(scenario.processes()).isEqualTo(9);
+        assertThat(scenario.faults()).extracting(Scenario.Fault::whom)
+                .containsExactly(Scenario.Whom.PROXIES, Scenario.Whom.VOTERS, Scenario.Whom.HOLLOW);
+        List<Plan.PlannedFault> faults = Planner.plan(scenario, 4).faults();
+        assertThat(faults.get(1).hits()).containsExactly(2);
+        assertThat(faults.get(2).hits()).hasSize(2).isSubsetOf(0, 1, 2, 3);
+        assertThat(ScenarioReader.parse(MEMBERS).fleet().members().voters()).isZero();
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', textBlock = """
+            voters = 3         | voters = 10        | 'fleet.voters': found 10, expected a whole number from 1 to 9
+            members = true     | members = false    | 'fleet.voters': found 3, expected 'members = true' beside it
+            voters = 3         | shards = 4         | 'fleet.hollow': found {"members":25,"processes":4,"heap":"96MiB"}, expected 'voters'
+            processes = 4      | processes = 96     | 'fleet.hollow.processes': found 96, expected a whole number from 1 to 95
+            members = 25       | members = 3        | 'fleet.hollow.members': found 3, expected a whole number from 4 to 4000
+            "96MiB"            | "4GiB"             | 'fleet.hollow.heap': found "4GiB", expected 2GiB at the most
+            voters = [2]       | voters = [3]       | 'faults[1].voters': found [3], expected whole numbers from 0 to 2
+            hollow = 0.5       | hollow = [4]       | 'faults[2].hollow': found [4], expected whole numbers from 0 to 3
+            hollow = 0.5       | voters = 0.5, hollow = 0.5 | 'faults[2].hollow': found 0.5, expected one of 'proxies', 'voters' and 'hollow'
+            act = "stop"       | act = "hup"        | 'faults[2].hollow': found 0.5, expected it under "kill", "term" or "stop" only
+            length = "60s"     | length = "30s"     | 'length': found "30s", expected 13 s, when the last fault and call are over
+            """)
+    void wrongProcessesBesideAreRefused(String right, String wrong, String message) {
+        String text = BESIDE.replace(right, wrong.replace(", ", "\n"));
+        assertThat(text).isNotEqualTo(BESIDE);
+        assertThatThrownBy(() -> ScenarioReader.parse(text)).isInstanceOf(BadScenario.class).message().startsWith(message);
+    }
+
+    @Test
+    void theLabIsNotBetweenMembersAndVoters() {
+        assertThatThrownBy(() -> ScenarioReader.parse(BESIDE + """
+                [[faults]]
+                act = "part"
+                at = "5s"
+                length = "4s"
+                groups = 2
+                """)).hasMessageStartingWith("'faults[3].act': found \"part\", expected no 'voters' under [fleet]");
+    }
+
     @ParameterizedTest
     @CsvSource(delimiter = '|', textBlock = """
             members = true     | members = false    | 'calls': found
@@ -103,7 +175,7 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"copies-cut", "copies-return", "copies-differ", "copies-all-killed", "copies-all-killed-for-good"})
+    @ValueSource(strings = {"copies-cut", "copies-return", "copies-differ", "copies-all-killed", "copies-all-killed-for-good", "scale"})
     void whatShipsCanBePlayed(String name) throws BadScenario {
         Scenario scenario = ScenarioReader.read(Path.of("scenarios", name + ".toml"));
         assertThat(scenario.name()).isEqualTo(name);
