Play whole fleets on a virtual network and count what each member costs

Nothing here can run hundreds of members as processes, so what a proxy's part in the fleet costs was known up to 24 members only.

--- /dev/null
+++ b/fleet/src/test/java/walkpost/fleet/scale/Voter.java
@@ -0,0 +1,252 @@
+package walkpost.fleet.scale;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import walkpost.fleet.copy.Acting;
+import walkpost.fleet.copy.CopyAction;
+import walkpost.fleet.copy.CopyEvent;
+import walkpost.fleet.copy.CopyMessage;
+import walkpost.fleet.copy.CopySettings;
+import walkpost.fleet.copy.Order;
+import walkpost.fleet.copy.Shard;
+import walkpost.fleet.copy.Shards;
+import walkpost.fleet.copy.Slot;
+import walkpost.fleet.member.Life;
+import walkpost.fleet.observe.Feed;
+import walkpost.fleet.observe.FeedAction;
+import walkpost.fleet.observe.FeedEvent;
+import walkpost.fleet.observe.ObserveMessage;
+import walkpost.fleet.observe.ObserveSettings;
+
+/** A process with a vote: membership, all shards, and a {@link Feed} where the fleet has observers. */
+final class Voter extends Process {
+    /** What a write to the directory takes; the lane's later events wait for it. */
+    private static final long WRITE_US = 2 * Agenda.MS;
+
+    private final List<Lane> lanes = new ArrayList<>();
+    private final Feed feed;
+    private final Deque<FeedAction> feedActions = new ArrayDeque<>();
+    private final Set<String> observersOrders = new HashSet<>();
+    private Set<String> others = Set.of();
+    private boolean level;
+
+    Voter(World world, Host host, Life life) {
+        super(world, host, life);
+        for (int shard = 0; shard < World.SHARDS; shard++) {
+            lanes.add(new Lane(shard, new Shard(CopySettings.usual(), life, world.voters(), world.agenda().nextSeed())));
+        }
+        feed = world.hasObservers() ? new Feed(ObserveSettings.usual(), host.name(), "region-" + host.region(), world.voters()) : null;
+    }
+
+    Feed feed() {
+        return feed;
+    }
+
+    @Override
+    void begin() {
+        for (Lane lane : lanes) {
+            List<Slot> slots = host().disk().values().stream().filter(slot -> shardOf(slot.key()) == lane.number).toList();
+            if (!slots.isEmpty()) {
+                lane.take(new CopyEvent.Restored(slots, host().awayUs(world().nowUs())));
+            }
+        }
+        if (feed != null && !host().disk().isEmpty()) {
+            handle(new FeedEvent.Changed(List.copyOf(host().disk().values())));
+        }
+        super.begin();
+    }
+
+    private static int shardOf(Order.Key key) {
+        return Shards.of(key.topic(), key.subject(), World.SHARDS);
+    }
+
+    @Override
+    void peers(Map<String, Long> roundTripUs) {
+        Map<String, Long> voters = new HashMap<>();
+        roundTripUs.forEach((name, trip) -> {
+            if (world().voters().contains(name)) {
+                voters.put(name, trip);
+            }
+        });
+        CopyEvent.Peers peers = new CopyEvent.Peers(voters);
+        lanes.forEach(lane -> lane.take(peers));
+        if (feed != null && !voters.keySet().equals(others)) {
+            others = Set.copyOf(voters.keySet());
+            handle(new FeedEvent.Voters(others));
+        }
+    }
+
+    @Override
+    boolean concerns(String name) {
+        return world().voters().contains(name);
+    }
+
+    @Override
+    void ticked(long nowUs) {
+        lanes.forEach(lane -> lane.take(new CopyEvent.Tick()));
+        if (feed != null) {
+            handle(new FeedEvent.Tick());
+        }
+    }
+
+    @Override
+    void received(String from, int shard, CopyMessage message) {
+        lanes.get(shard).take(new CopyEvent.Received(from, message));
+    }
+
+    @Override
+    void received(String from, ObserveMessage message) {
+        if (feed != null) {
+            handle(new FeedEvent.Received(from, message));
+        }
+    }
+
+    @Override
+    void tell(String topic, String subject, String payload) {
+        lanes.get(Shards.of(topic, subject, World.SHARDS)).take(new CopyEvent.Tell(topic, subject, payload));
+    }
+
+    @Override
+    void order(Order.Key key, String id, String replaces, String payload) {
+        lanes.get(shardOf(key)).take(new CopyEvent.Propose(key, id, replaces, payload));
+    }
+
+    @Override
+    boolean level() {
+        return level;
+    }
+
+    @Override
+    Map<Order.Key, Acting> acting() {
+        Map<Order.Key, Acting> all = new HashMap<>();
+        lanes.forEach(lane -> all.putAll(lane.shard.acting()));
+        return all;
+    }
+
+    private void levelMayHaveChanged() {
+        boolean now = lanes.stream().allMatch(lane -> lane.shard.level());
+        if (now != level) {
+            level = now;
+            if (feed != null) {
+                handle(new FeedEvent.Level(now));
+            }
+        }
+    }
+
+    private void handle(FeedEvent event) {
+        long fromNs = System.nanoTime();
+        feed.handle(world().nowUs(), event, feedActions::add);
+        cost().machine(fromNs);
+        while (!feedActions.isEmpty()) {
+            FeedAction action = feedActions.remove();
+            if (action instanceof FeedAction.Send send) {
+                send(send.to(), send.message());
+            } else if (action instanceof FeedAction.Propose propose) {
+                observersOrders.add(propose.id());
+                order(propose.key(), propose.id(), propose.replaces(), propose.payload());
+            } else if (action instanceof FeedAction.Offer offer) {
+                Map<Integer, List<Slot>> byShard = new HashMap<>();
+                offer.slots().forEach(slot -> byShard.computeIfAbsent(shardOf(slot.key()), shard -> new ArrayList<>()).add(slot));
+                byShard.forEach((shard, slots) -> lanes.get(shard).take(new CopyEvent.Offered(slots)));
+            }
+        }
+    }
+
+    /** One shard: events wait while the disk writes, as they do in the shell. */
+    private final class Lane {
+        private final int number;
+        private final Shard shard;
+        private final List<CopyAction> actions = new ArrayList<>();
+        private final Deque<CopyEvent> waiting = new ArrayDeque<>();
+        private boolean writing;
+        private boolean working;
+
+        Lane(int number, Shard shard) {
+            this.number = number;
+            this.shard = shard;
+        }
+
+        void take(CopyEvent event) {
+            waiting.add(event);
+            work();
+        }
+
+        private void work() {
+            if (working) {
+                return;
+            }
+            working = true;
+            while (!writing && !waiting.isEmpty()) {
+                long fromNs = System.nanoTime();
+                shard.handle(world().nowUs(), waiting.remove(), actions::add);
+                cost().machine(fromNs);
+                if (!actions.isEmpty()) {
+                    carryOut();
+                }
+            }
+            working = false;
+        }
+
+        private void carryOut() {
+            List<CopyAction> due = List.copyOf(actions);
+            actions.clear();
+            if (world().directories() && due.stream().anyMatch(CopyAction.Persist.class::isInstance)) {
+                writing = true;
+                world().agenda().after(WRITE_US, () -> {
+                    if (runs()) {
+                        due.forEach(this::carryOut);
+                        writing = false;
+                        work();
+                    }
+                });
+            } else {
+                due.forEach(this::carryOut);
+            }
+        }
+
+        private void carryOut(CopyAction action) {
+            if (action instanceof CopyAction.Send send) {
+                send(send.to(), number, send.message());
+            } else if (action instanceof CopyAction.Persist persist) {
+                persist(persist.slots());
+            } else if (action instanceof CopyAction.Stands stands) {
+                world().orders().stands(host(), stands.key(), stands.acting());
+            } else if (action instanceof CopyAction.Level) {
+                levelMayHaveChanged();
+            } else if (action instanceof CopyAction.Acknowledged done) {
+                if (observersOrders.contains(done.id())) {
+                    handle(new FeedEvent.Acknowledged(done.id(), done.order()));
+                } else {
+                    world().orders().acknowledged(done.id(), done.order());
+                }
+            } else if (action instanceof CopyAction.Refused no) {
+                if (observersOrders.contains(no.id())) {
+                    handle(new FeedEvent.Refused(no.id(), no.why()));
+                } else {
+                    world().orders().refused(no.id(), no.why());
+                }
+            }
+        }
+
+        private void persist(List<Slot> slots) {
+            if (world().directories()) {
+                for (Slot slot : slots) {
+                    if (slot.none()) {
+                        host().disk().remove(slot.key());
+                    } else {
+                        host().disk().put(slot.key(), slot);
+                    }
+                }
+            }
+            if (feed != null) {
+                handle(new FeedEvent.Changed(slots));
+            }
+        }
+    }
+}
