--- a/proxy/src/main/java/walkpost/proxy/Backends.java
+++ b/proxy/src/main/java/walkpost/proxy/Backends.java
@@ -176,11 +176,6 @@
         }
     }
 
-    /** Returns an attempt that is yet to be started, or null where there is no such backend or no socket left. */
-    Attempt attempt(String id, Outgoing outgoing, long timeoutUs, AttemptListener listener) {
-        return attempt(id, outgoing, timeoutUs, Long.MAX_VALUE, listener);
-    }
-
     /**
      * Returns an attempt that is yet to be started, or null where there is no such backend or no socket left.
      *
