Compare digests before members exchange all they know; keep voters as peers through a cut

Membership also brings voters back to the shards only when a seed or a dead member is tried again, up to 22 s after a cut, of 12 s that orders may take. Change: more than 32 members compare digests of 64 buckets by datagram and exchange what differs; shards, feeds and observers have all known voters as peers, whatever is held of them.

--- a/fleet/src/main/java/walkpost/fleet/member/Contacts.java
+++ b/fleet/src/main/java/walkpost/fleet/member/Contacts.java
@@ -1,6 +1,7 @@
 package walkpost.fleet.member;
 
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -15,6 +16,10 @@
 final class Contacts {
     private static final int SEEDS_AT_ONCE = 2;
     private static final int SETTLING_PERIODS = 4;
+    /** So few are told in two datagrams' worth. */
+    private static final int SMALL = 32;
+    /** More than these are a cut that has healed, or a start of many: then all hear of it from many, and mostly by gossip. */
+    private static final int FEW_BUCKETS = Digest.BUCKETS / 8;
     private final MemberSettings settings;
     private final Identity self;
     private final Set<Address> seeds;
@@ -28,6 +33,8 @@
     private long syncAtUs;
     private long reachAtUs;
     private long periodAtUs;
+    /** When much that differs may be told again. */
+    private long muchAtUs = Long.MIN_VALUE;
 
     Contacts(MemberSettings settings, Identity self, Set<Address> seeds, Roster roster, Rota rota, Strangers strangers, Post post,
             UniformRandomProvider random) {
@@ -103,8 +110,29 @@
         }
     }
 
+    /** Tells all that is known where that is little; else asks first whether the other holds the same: a datagram, however much it is. */
     private void exchange(Turn turn, Address with) {
-        turn.large(with, new MemberMessage.Sync(false, self.life(), self.at(), post.everything()));
+        if (roster.size() <= SMALL) {
+            turn.large(with, new MemberMessage.Sync(false, self.life(), self.at(), post.everything()));
+        } else {
+            turn.datagram(with, new MemberMessage.Check(post.digests(), self.life(), self.at(), List.of()));
+        }
+    }
+
+    /** Another holds these digests: what differs is told, and asked for in kind. Much at a time is told now and then only. */
+    void checked(Turn turn, MemberMessage.Check check) {
+        BitSet differing = Digest.differing(post.digests(), check.digests());
+        if (differing.isEmpty()) {
+            return;
+        }
+        if (differing.cardinality() > FEW_BUCKETS) {
+            if (turn.nowUs() < muchAtUs) {
+                return;
+            }
+            muchAtUs = turn.nowUs() + settings.syncUs() / 2;
+        }
+        turn.large(check.at(), new MemberMessage.Sync(false, self.life(), self.at(), post.everything(differing),
+                differing.stream().boxed().toList()));
     }
 
     private long about(long us) {
--- a/fleet/src/main/java/walkpost/fleet/member/MemberMessage.java
+++ b/fleet/src/main/java/walkpost/fleet/member/MemberMessage.java
@@ -1,5 +1,6 @@
 package walkpost.fleet.member;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
@@ -15,6 +16,7 @@
         @JsonSubTypes.Type(value = MemberMessage.Ack.class, name = "ack"),
         @JsonSubTypes.Type(value = MemberMessage.Nack.class, name = "nack"),
         @JsonSubTypes.Type(value = MemberMessage.Tell.class, name = "tell"),
+        @JsonSubTypes.Type(value = MemberMessage.Check.class, name = "check"),
         @JsonSubTypes.Type(value = MemberMessage.Sync.class, name = "sync"),
         @JsonSubTypes.Type(value = MemberMessage.Farewell.class, name = "bye")})
 public sealed interface MemberMessage {
@@ -67,10 +69,33 @@
         }
     }
 
-    /** All that the sender knows; to be answered in kind unless it is an answer. Goes over a connection. */
-    record Sync(boolean answer, Life sender, Address at, List<News> news) implements MemberMessage {
+    /**
+     * Do you hold the same as I do? Says nothing of whom, and is answered by a {@link Sync} of what differs, or not at all.
+     *
+     * @param digests of of those that the sender holds to live, itself among them, in {@link Digest#BUCKETS} buckets by name
+     */
+    record Check(List<Integer> digests, Life sender, Address at, List<News> news) implements MemberMessage {
+        public Check {
+            digests = List.copyOf(digests);
+            news = listed(news);
+        }
+    }
+
+    /**
+     * All that the sender knows, or all of it in some buckets; to be answered in kind unless it is an answer. Goes over a connection.
+     *
+     * @param buckets those that it is about, see {@link Digest}; null for all, as earlier versions of the program have it
+     */
+    @JsonInclude(JsonInclude.Include.NON_NULL)
+    record Sync(boolean answer, Life sender, Address at, List<News> news, List<Integer> buckets) implements MemberMessage {
         public Sync {
             news = listed(news);
+            buckets = buckets == null ? null : List.copyOf(buckets);
+        }
+
+        /** All that the sender knows. */
+        public Sync(boolean answer, Life sender, Address at, List<News> news) {
+            this(answer, sender, at, news, null);
         }
     }
 
--- a/fleet/src/main/java/walkpost/fleet/member/Membership.java
+++ b/fleet/src/main/java/walkpost/fleet/member/Membership.java
@@ -100,7 +100,16 @@
      * smoothed mean and four mean deviations. Where none is measured it is the period.
      */
     public Map<String, Long> roundTripUs() {
+        return roundTripUs(Set.of());
+    }
+
+    /**
+     * Returns the same, and those of {@code always} besides that are held for dead or gone: what must not wait until this member has
+     * heard that they are back is to be tried on them all the same.
+     */
+    public Map<String, Long> roundTripUs(Set<String> always) {
         Map<String, Long> all = new LinkedHashMap<>();
+        always.stream().filter(name -> roster.get(name) != null).forEach(name -> all.put(name, settings.periodUs()));
         for (Member member : roster.living()) {
             String name = member.life().name();
             all.put(name, trips.boundUs(name, settings.periodUs()));
@@ -194,7 +203,10 @@
         } else if (message instanceof MemberMessage.Nack nack) {
             prober.notAcknowledged(nack);
         } else if (message instanceof MemberMessage.Sync sync && !sync.answer()) {
-            turn.large(sync.at(), new MemberMessage.Sync(true, self.life(), self.at(), post.everything()));
+            turn.large(sync.at(), new MemberMessage.Sync(true, self.life(), self.at(), post.everything(Digest.chosen(sync.buckets())),
+                    sync.buckets()));
+        } else if (message instanceof MemberMessage.Check check) {
+            contacts.checked(turn, check);
         }
     }
 
--- a/fleet/src/main/java/walkpost/fleet/member/Post.java
+++ b/fleet/src/main/java/walkpost/fleet/member/Post.java
@@ -1,6 +1,7 @@
 package walkpost.fleet.member;
 
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.List;
 
 /** Says what news go with a message. Holds no state of its own. */
@@ -36,6 +37,18 @@
         return all;
     }
 
+    /** Returns all that is known of names in some buckets, the dead and those who left included. */
+    List<News> everything(BitSet buckets) {
+        return roster.all().stream().filter(m -> buckets.get(Digest.bucket(m.life().name()))).map(this::told).toList();
+    }
+
+    /** Returns the digests of this member and of all that it holds to live. */
+    List<Integer> digests() {
+        List<Member> all = new ArrayList<>(roster.living());
+        all.add(self.member());
+        return Digest.of(all);
+    }
+
     private News told(Member member) {
         String first = suspicions.firstAccuser(member.life().name());
         return News.of(member, first == null ? self.name() : first);
--- a/fleet/src/main/java/walkpost/fleet/shell/Fleet.java
+++ b/fleet/src/main/java/walkpost/fleet/shell/Fleet.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -150,7 +151,7 @@
         var random = ThreadLocalRandom.current();
         var sender = new Sender(file, counters, codec, transport, address);
         members = new MemberLane(new Membership(settings.member, life, address, file.seeds(), random.nextLong()), life, Clock.MONOTONIC,
-                counters, transport, sender::encoded, this::tellPeers);
+                counters, transport, sender::encoded, Set.copyOf(file.voters()), this::tellPeers);
         sender.knows(members);
         part = store == null ? new ObservingPart(file, life, counters, threads.workers(), sender, random.nextLong())
                 : new VotingPart(file, life, settings.copy, store, counters, transport, threads.workers(), sender, random::nextLong);
--- a/fleet/src/main/java/walkpost/fleet/shell/MemberLane.java
+++ b/fleet/src/main/java/walkpost/fleet/shell/MemberLane.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.locks.Lock;
 import java.util.concurrent.locks.ReentrantLock;
@@ -34,11 +35,15 @@
     private final Map<String, Member> told = new ConcurrentHashMap<>();
     private final List<Outlet> outlets = new ArrayList<>();
     private final Runnable changed;
+    private final Set<String> always;
     private volatile Life self;
 
-    /** @param changed run after who lives may have changed */
+    /**
+     * @param always names that are told as peers whatever is held of them: after a cut nobody waits until membership has found them again
+     * @param changed run after who lives may have changed
+     */
     MemberLane(Membership membership, Life self, Clock clock, Counters counters, Transport transport,
-            Function<MemberMessage, byte[]> encoder, Runnable changed) {
+            Function<MemberMessage, byte[]> encoder, Set<String> always, Runnable changed) {
         this.membership = membership;
         this.self = self;
         this.clock = clock;
@@ -46,6 +51,7 @@
         this.transport = transport;
         this.encoder = encoder;
         this.changed = changed;
+        this.always = Set.copyOf(always);
     }
 
     /** Takes an event; on the loop. */
@@ -152,7 +158,7 @@
             if (told.size() > membership.members().size()) {
                 told.keySet().retainAll(membership.members().stream().map(member -> member.life().name()).toList());
             }
-            return new CopyEvent.Peers(membership.roundTripUs());
+            return new CopyEvent.Peers(membership.roundTripUs(always));
         } finally {
             lock.unlock();
         }
--- a/fleet/src/test/java/walkpost/fleet/scale/Process.java
+++ b/fleet/src/test/java/walkpost/fleet/scale/Process.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import walkpost.fleet.copy.Acting;
 import walkpost.fleet.copy.CopyMessage;
 import walkpost.fleet.copy.Order;
@@ -104,7 +105,7 @@
         handle(new MemberEvent.Tick());
         if (ticks++ % (host.voter() ? TICKS_A_SECOND : WATCHERS_TICKS) == 0 || changed) {
             changed = false;
-            peers(membership.roundTripUs());
+            peers(membership.roundTripUs(world.hasObservers() ? world.voters() : Set.of()));
         }
         ticked(world.nowUs());
         if (level()) {
