--- a/fleet/src/main/java/walkpost/fleet/member/Contacts.java
+++ b/fleet/src/main/java/walkpost/fleet/member/Contacts.java
@@ -16,7 +16,7 @@
 final class Contacts {
     private static final int SEEDS_AT_ONCE = 2;
     private static final int SETTLING_PERIODS = 4;
-    /** So few are told in two datagrams' worth. */
+    /** So few are told all that is known in two datagrams' worth, and each of them by itself. */
     private static final int SMALL = 32;
     /** More than these are a cut that has healed, or a start of many: then all hear of it from many, and mostly by gossip. */
     private static final int FEW_BUCKETS = Digest.BUCKETS / 8;
@@ -61,6 +61,12 @@
         owed = address;
     }
 
+    /** Says good-bye: to all where they are few, else to some who tell the others. A restart is not to cost a message for each member. */
+    void leave(Turn turn) {
+        List<Member> told = roster.size() <= SMALL ? roster.living() : rota.some(SMALL, self.name());
+        told.forEach(m -> turn.datagram(m.address(), new MemberMessage.Farewell(self.life(), self.at(), List.of())));
+    }
+
     void tick(Turn turn) {
         if (turn.nowUs() >= periodAtUs) {
             periodAtUs = turn.nowUs() + settings.periodUs();
--- a/fleet/src/main/java/walkpost/fleet/member/Membership.java
+++ b/fleet/src/main/java/walkpost/fleet/member/Membership.java
@@ -212,9 +212,7 @@
 
     private void leave(Turn turn) {
         self.leave();
-        for (Member member : roster.living()) {
-            turn.datagram(member.address(), new MemberMessage.Farewell(self.life(), self.at(), List.of()));
-        }
+        contacts.leave(turn);
         turn.changed(self.member());
     }
 }
--- a/fleet/src/test/java/walkpost/fleet/member/DigestTest.java
+++ b/fleet/src/test/java/walkpost/fleet/member/DigestTest.java
@@ -87,6 +87,16 @@
         network.cut = (from, to) -> false;
     }
 
+    /** A restart is not to cost a message for each member: some are told, and tell the others. */
+    @Test
+    void whoLeavesTellsSomeAndAllHearOfIt() {
+        var network = settled(4);
+        network.give(network.node(9), new MemberEvent.Leave());
+        assertThat(network.sent.stream().filter(sent -> sent.message() instanceof MemberMessage.Farewell)).hasSize(32);
+        assertThat(network.until(30, () -> network.nodes.values().stream().filter(node -> !node.name.equals("n9"))
+                .allMatch(node -> node.holds("n9", Standing.LEFT)))).isLessThanOrEqualTo(30);
+    }
+
     @Test
     void garbledDigestsAndBucketsTellNothing() {
         assertThat(Digest.differing(Digest.of(List.of()), List.of(1, 2)).isEmpty()).isTrue();
