Wait with a member's end until its sockets are the system's again

On a loop that goes on, a closed socket keeps its port until the loop has selected anew: verify met 'Address already in use' in closingGivesBackThePort once.

--- a/fleet/src/main/java/walkpost/fleet/shell/Transport.java
+++ b/fleet/src/main/java/walkpost/fleet/shell/Transport.java
@@ -232,7 +232,8 @@
             var left = new AtomicInteger(bound.size());
             bound.forEach(channel -> channel.close().addListener(done -> {
                 if (left.decrementAndGet() == 0) {
-                    closing.countDown();
+                    // A socket is the system's again only once its loop has selected anew, which it does before what is scheduled.
+                    loop.schedule(closing::countDown, 1, TimeUnit.MILLISECONDS);
                 }
             }));
         });
