--- a/fleet/src/main/java/walkpost/fleet/shell/ObserverLane.java
+++ b/fleet/src/main/java/walkpost/fleet/shell/ObserverLane.java
@@ -79,9 +79,14 @@
         } else if (action instanceof ObserverAction.Lives lives) {
             tell(listener -> listener.lives(lives.byRegion()), () -> toldLives = lives.byRegion());
         } else if (action instanceof ObserverAction.Acknowledged acknowledged) {
-            callers.acknowledged(acknowledged.id(), acknowledged.order());
+            Order order = acknowledged.order();
+            Log.info("order_acknowledged", "id", acknowledged.id(), "topic", order.key().topic(), "subject", order.key().subject(),
+                    "version", order.version());
+            callers.acknowledged(acknowledged.id(), order);
         } else if (action instanceof ObserverAction.Refused refused) {
-            callers.refused(refused.id(), refused.why());
+            FleetException why = refused.why();
+            Log.warn("order_refused", "id", refused.id(), "error", why.getClass().getSimpleName(), "reason", why.getMessage());
+            callers.refused(refused.id(), why);
         }
     }
 
--- a/proxy/src/test/java/walkpost/proxy/FleetLinkTest.java
+++ b/proxy/src/test/java/walkpost/proxy/FleetLinkTest.java
@@ -32,6 +32,7 @@
 import walkpost.fleet.copy.Order;
 import walkpost.fleet.member.Standing;
 import walkpost.fleet.shell.Coverage;
+import walkpost.fleet.shell.Fleet;
 import walkpost.fleet.shell.FleetHandle;
 
 /** A proxy in a fleet that the test plays: what operators may call, what it obeys and what it tells. */
@@ -285,6 +286,52 @@
         }
     }
 
+    private Path fleetFile(String name, String seeds) throws Exception {
+        Files.write(temp.resolve("fleet.key"), new byte[16]);
+        return Files.writeString(temp.resolve(name + ".toml"), """
+                format = 1
+                cluster = "gent"
+                name = "%s"
+                bind = "127.0.0.1:0"
+                voters = ["v1"]
+                seeds = [%s]
+                secret = "fleet.key"
+                """.formatted(name, seeds));
+    }
+
+    /** Whole members: the proxy observes, and its one voter ends. */
+    @Test
+    void anObserverObeysItsVoterAndGoesOnAsItWasWithoutIt() throws Exception {
+        Fleet voter = Fleet.open(fleetFile("v1", ""), Map.of());
+        try (var backend = new Peer();
+                var proxy = Fixture.inFleet(FleetLink.opener(fleetFile("n0", "\"" + voter.address() + "\""), Map.of()), null,
+                        (event, actions) -> { }, temp, backend)) {
+            while (!json(proxy.call("fleet\n")).get("level").booleanValue()) {
+                Thread.onSpinWait();
+            }
+            JsonNode known = json(proxy.call("fleet\n"));
+            assertThat(known.get("feeds")).isEqualTo(Config.JSON.readTree("[\"v1\"]"));
+            assertThat(known.get("control_age_ms").isIntegralNumber()).isTrue();
+            assertThat(proxy.call("exclude s0 fleet o1 -\n")).isEqualTo("SUCCESS s0 is taken out on the fleet, order=o1 version=1\n");
+            assertThat(proxy.next(Excluded.class)).isEqualTo(new Excluded("s0"));
+            while (json(proxy.call("held s0 o1\n")).get("held").intValue() < 2) {
+                Thread.onSpinWait();
+            }
+            assertThat(proxy.call("exclude s0 fleet o2 other\n")).startsWith("FAILURE v1 says Overtaken: o2 ").contains("look at 'orders'");
+            voter.close();
+            while (json(proxy.call("fleet\n")).get("level").booleanValue()) {
+                Thread.onSpinWait();
+            }
+            assertThat(proxy.call("include s0 fleet o3 o1\n")).startsWith("FAILURE o3 ");
+            assertThat(proxy.call("include s0\n")).contains("the fleet has it out");
+            assertThat(json(proxy.call("held s0 o1\n")).get("silent")).isEqualTo(Config.JSON.readTree("[\"v1\"]"));
+            assertThat(json(proxy.call("orders\n")).get("orders").get(0).get("id").textValue()).isEqualTo("o1");
+            assertThat(proxy.events).noneMatch(Included.class::isInstance);
+        } finally {
+            voter.close();
+        }
+    }
+
     /** At most once a second, and then only what is news, or would soon be too old to be acted on. */
     @Test
     void tellsTheOthersHowItIs() throws Exception {
