Pass a refusal on only when no voter may still carry the order out

Cause: an observer told its caller the first refusal that came (or, at its deadline, the last), while another voter that it had sent the order to had not answered and went on with it; and a copy of a call that came late, or twice, was proposed anew after its refusal had been passed on. Change: each sending has a number that goes up (Call.attempt); the answer has the highest that it covers, and for how long the voter's process has run. The observer passes a refusal on once all voters that it asked have refused their last number, none having begun anew since the first; else Uncertain at its deadline. CodecTest has the new fields.

--- a/fleet/src/main/java/walkpost/fleet/observe/Calls.java
+++ b/fleet/src/main/java/walkpost/fleet/observe/Calls.java
@@ -1,98 +1,169 @@
 package walkpost.fleet.observe;
 
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import walkpost.fleet.FleetException;
 import walkpost.fleet.copy.Order;
+import walkpost.fleet.member.Life;
 
 /**
  * Operators' orders that were given to an observer: owns those that are not answered yet. Each goes to one voter, once more to the same
  * one where it says nothing, and then over the next, always with the same id: whoever carries it out, it is carried out once.
+ *
+ * <p>A refusal is passed on only once every voter that the order was sent to has refused every attempt, all in one life: as long as one
+ * has not, it may still carry it out, or has done so before it died, and the caller is told that it is not certain.
  */
 final class Calls {
     private static final int TIMES_EACH = 2;
-    /** A voter that has the order on its way already, or is not level, is asked again after this. */
+    /** A voter that has the order on its way already, or is not level, is asked again after this; and nobody so short before the end. */
     private static final long AGAIN_US = 200_000;
+    /** Attempts that a life may make in each millisecond before its numbers could meet those of the next one. */
+    private static final long PER_MS = 1_000;
+    private static final String UNCERTAIN = FleetException.Uncertain.class.getSimpleName();
+
+    /** What one voter was sent of a call, and what it has answered. */
+    private static final class Tried {
+        private final long firstUs;
+        private long sent;
+        private long settled;
+
+        private Tried(long firstUs) {
+            this.firstUs = firstUs;
+        }
+
+        /** Returns whether a voter that has run for so long has got all that was sent to it in one life; clocks may be 2% wrong each. */
+        private boolean oneLife(long nowUs, long aliveUs) {
+            return aliveUs - aliveUs / 16 >= nowUs - firstUs;
+        }
+
+        private boolean open() {
+            return settled < sent;
+        }
+    }
 
     private static final class Call {
-        private final ObserveMessage.Call message;
+        private final ObserverEvent.Propose order;
         private final long deadlineUs;
+        private final Map<String, Tried> tried = new TreeMap<>();
         private int sent;
         private long nextUs;
         private FleetException why;
+        /** No voter will make anything of it, one has said; but others were asked as well. */
+        private boolean refused;
+        /** A voter has decided it, and could not say that a majority holds it. */
+        private boolean uncertain;
 
-        private Call(ObserveMessage.Call message, long nowUs, long deadlineUs) {
-            this.message = message;
+        private Call(ObserverEvent.Propose order, long nowUs, long deadlineUs) {
+            this.order = order;
             this.nextUs = nowUs;
             this.deadlineUs = deadlineUs;
         }
+
+        /** Returns the voters that may still carry it out. */
+        private List<String> open() {
+            return tried.entrySet().stream().filter(each -> each.getValue().open()).map(Map.Entry::getKey).toList();
+        }
+
+        private boolean firm() {
+            return why != null && !uncertain && open().isEmpty();
+        }
+
+        /** Returns whom to send it to next. */
+        private String next(List<String> voters) {
+            List<String> among = new ArrayList<>(refused && !uncertain ? open() : voters);
+            return among.isEmpty() ? null : among.get(sent / TIMES_EACH % among.size());
+        }
     }
 
     private final ObserveSettings settings;
     private final String self;
     private final Counts counts;
     private final Map<String, Call> calls = new LinkedHashMap<>();
+    private long attempts;
 
-    Calls(ObserveSettings settings, String self, Counts counts) {
+    Calls(ObserveSettings settings, Life self, Counts counts) {
         this.settings = settings;
-        this.self = self;
+        this.self = self.name();
         this.counts = counts;
+        attempts = Math.min(self.incarnation(), Long.MAX_VALUE / (2 * PER_MS)) * PER_MS;
     }
 
     /** Takes an order; one with an id that is on its way already gets the same answer. */
     void propose(long nowUs, ObserverEvent.Propose order) {
-        calls.putIfAbsent(order.id(), new Call(new ObserveMessage.Call(order.key(), order.id(), order.replaces(), order.payload()), nowUs,
-                nowUs + settings.callUs()));
+        calls.putIfAbsent(order.id(), new Call(order, nowUs, nowUs + settings.callUs()));
     }
 
     /** Sends what is due to the voters in turn, and gives up what is over. */
     void tick(long nowUs, List<String> voters, long awayUs, Send send, Consumer<ObserverAction> actions) {
         for (Call call : List.copyOf(calls.values())) {
             if (nowUs >= call.deadlineUs) {
-                calls.remove(call.message.id());
                 counts.count("calls.failed");
-                actions.accept(new ObserverAction.Refused(call.message.id(), why(call, voters, awayUs)));
-            } else if (nowUs >= call.nextUs && !voters.isEmpty()) {
-                send.to(voters.get(call.sent / TIMES_EACH % voters.size()), call.message);
-                call.sent++;
-                call.nextUs = nowUs + settings.repeatUs();
+                refuse(call, why(call, awayUs), actions);
+            } else if (nowUs >= call.nextUs && (nowUs < call.deadlineUs - AGAIN_US || call.sent == 0)) {
+                send(nowUs, call, call.next(voters), send);
             }
         }
     }
 
+    private void send(long nowUs, Call call, String to, Send send) {
+        if (to == null) {
+            return;
+        }
+        ObserverEvent.Propose order = call.order;
+        call.tried.computeIfAbsent(to, name -> new Tried(nowUs)).sent = ++attempts;
+        call.sent++;
+        call.nextUs = nowUs + settings.repeatUs();
+        send.to(to, new ObserveMessage.Call(order.key(), order.id(), order.replaces(), order.payload(), attempts));
+    }
+
     void answer(long nowUs, String from, ObserveMessage.Answer answer, Consumer<ObserverAction> actions) {
         Call call = calls.get(answer.id());
-        if (call == null) {
+        Tried tried = call == null ? null : call.tried.get(from);
+        if (tried == null) {
             return;
         }
         Order order = answer.order();
         if (order != null) {
-            if (order.id().equals(answer.id()) && order.key().equals(call.message.key())) {
+            if (order.id().equals(answer.id()) && order.key().equals(call.order.key())) {
                 calls.remove(answer.id());
                 actions.accept(new ObserverAction.Acknowledged(answer.id(), order));
             }
             return;
         }
-        if (answer.type() == null || answer.text() == null || answer.remedy() == null) {
+        if (answer.type() == null || answer.text() == null || answer.remedy() == null || answer.attempt() > tried.sent
+                || answer.attempt() <= tried.settled) {
             return;
         }
-        call.why = new FleetException.FromVoter(from, answer.type(), answer.text(), answer.remedy());
-        if (answer.again()) {
-            call.nextUs = Math.max(call.nextUs, nowUs + AGAIN_US);
-        } else {
-            calls.remove(answer.id());
+        if (tried.oneLife(nowUs, answer.aliveUs())) {
+            tried.settled = answer.attempt();
+        }
+        call.uncertain |= answer.type().equals(UNCERTAIN);
+        if (!call.refused || !answer.again()) {
+            call.why = new FleetException.FromVoter(from, answer.type(), answer.text(), answer.remedy());
+        }
+        call.refused |= !answer.again();
+        if (call.refused && call.firm()) {
             counts.count("calls.refused");
-            actions.accept(new ObserverAction.Refused(answer.id(), call.why));
+            refuse(call, call.why, actions);
+        } else if (answer.again()) {
+            call.nextUs = Math.max(call.nextUs, nowUs + AGAIN_US);
         }
     }
 
-    private FleetException why(Call call, List<String> voters, long awayUs) {
-        if (call.why != null) {
-            return call.why;
+    private void refuse(Call call, FleetException why, Consumer<ObserverAction> actions) {
+        calls.remove(call.order.id());
+        actions.accept(new ObserverAction.Refused(call.order.id(), why));
+    }
+
+    private FleetException why(Call call, long awayUs) {
+        if (call.sent == 0) {
+            return new FleetException.NoVoter(call.order.id(), self, Observer.words(awayUs));
         }
-        return call.sent == 0 ? new FleetException.NoVoter(call.message.id(), self, Observer.words(awayUs))
-                : new FleetException.Uncertain(call.message.id(), voters.subList(0, Math.min(voters.size(), 1 + call.sent / TIMES_EACH)));
+        return call.firm() ? call.why
+                : new FleetException.Uncertain(call.order.id(), call.open().isEmpty() ? call.tried.keySet() : call.open());
     }
 }
--- a/fleet/src/main/java/walkpost/fleet/observe/Feed.java
+++ b/fleet/src/main/java/walkpost/fleet/observe/Feed.java
@@ -66,6 +66,7 @@
             attached.stoodStill(nowUs - lastUs);
         }
         lastUs = nowUs;
+        proxied.clock(nowUs);
         Send send = (to, message) -> actions.accept(new FeedAction.Send(to, message));
         if (event instanceof FeedEvent.Tick) {
             table.forget(nowUs, settings.removalUs());
@@ -87,9 +88,9 @@
         } else if (event instanceof FeedEvent.Voters living) {
             others = new TreeSet<>(living.names().stream().filter(name -> voters.contains(name) && !name.equals(self)).toList());
         } else if (event instanceof FeedEvent.Acknowledged acknowledged) {
-            proxied.acknowledged(acknowledged.id(), acknowledged.order(), send);
+            proxied.acknowledged(nowUs, acknowledged.id(), acknowledged.order(), send);
         } else if (event instanceof FeedEvent.Refused refused) {
-            proxied.refused(refused.id(), refused.why(), send);
+            proxied.refused(nowUs, refused.id(), refused.why(), send);
         }
     }
 
--- a/fleet/src/main/java/walkpost/fleet/observe/ObserveMessage.java
+++ b/fleet/src/main/java/walkpost/fleet/observe/ObserveMessage.java
@@ -127,8 +127,12 @@
         }
     }
 
-    /** An operator's order that was given to an observer; the same id may come over several voters and is carried out once. */
-    record Call(Order.Key key, String id, String replaces, String payload) implements ObserveMessage {
+    /**
+     * An operator's order that was given to an observer; the same id may come over several voters and is carried out once.
+     *
+     * @param attempt goes up with each sending by this observer, of whatever call and to whomever, and from life to life
+     */
+    record Call(Order.Key key, String id, String replaces, String payload, long attempt) implements ObserveMessage {
         public Call {
             Objects.requireNonNull(key, "key");
             Objects.requireNonNull(id, "id");
@@ -138,9 +142,12 @@
     /**
      * What came of a call: the acknowledged order, or the reason why not: its type, what happened, and what an operator can do.
      *
+     * @param attempt the highest that this answers: copies of it, and of earlier ones, that come later are answered the same
+     * @param aliveUs for how long the voter's process has run: whatever was sent to it before that it knows nothing of
      * @param again whether another voter, or this one a moment later, may well take it
      */
-    record Answer(String id, Order order, String type, String text, String remedy, boolean again) implements ObserveMessage {
+    record Answer(String id, long attempt, long aliveUs, Order order, String type, String text, String remedy, boolean again)
+            implements ObserveMessage {
         public Answer {
             Objects.requireNonNull(id, "id");
         }
--- a/fleet/src/main/java/walkpost/fleet/observe/Observer.java
+++ b/fleet/src/main/java/walkpost/fleet/observe/Observer.java
@@ -67,7 +67,7 @@
         UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
         feeds = new Feeds(settings, self.name(), region, counts, random);
         comparison = new Comparison(table, counts, seed);
-        calls = new Calls(settings, self.name(), counts);
+        calls = new Calls(settings, self, counts);
         facts = new OwnFacts(self, counts);
     }
 
--- a/fleet/src/test/java/walkpost/fleet/shell/CodecTest.java
+++ b/fleet/src/test/java/walkpost/fleet/shell/CodecTest.java
@@ -103,9 +103,9 @@
                 new ObserveMessage.Stamps(2, 0, 2, new int[] {64}, List.of(new CopyMessage.SlotStamp(key, -9))),
                 new ObserveMessage.Want(2, List.of(key)), new ObserveMessage.Slots(2, 40, slots), new ObserveMessage.Push(8, 40, slots),
                 new ObserveMessage.Taken(8), new ObserveMessage.Offer(40, slots),
-                new ObserveMessage.Call(key, "o2", null, null), new ObserveMessage.Call(key, "o2", "", "{}"),
-                new ObserveMessage.Answer("o1", order, null, null, null, false),
-                new ObserveMessage.Answer("o1", null, "Busy", "it crosses", "wait", true), new ObserveMessage.Report(facts),
+                new ObserveMessage.Call(key, "o2", null, null, 1), new ObserveMessage.Call(key, "o2", "", "{}", 1L << 61),
+                new ObserveMessage.Answer("o1", 1, 2, order, null, null, null, false),
+                new ObserveMessage.Answer("o1", 1, 2, null, "Busy", "it crosses", "wait", true), new ObserveMessage.Report(facts),
                 new ObserveMessage.AskFacts(3, "load"), new ObserveMessage.Facts(3, 0, 1, facts), new ObserveMessage.AskHeld(4, key, "o1"),
                 new ObserveMessage.Held(4, 5, 6, List.of("n9")), new ObserveMessage.Sum("north", Map.of("south", 12)));
     }
