Let observers get level again after all voters have lost what they held

Change: a copy that never was level drops what a level voter has not, and takes that voter's slots (it has acted on nothing of it); a comparison is followed by another at once only if it changed the copy; a removal is offered where what it ended stands at the voter. Measured: a unit test for each, which fails without its part of the mend.

--- a/fleet/src/main/java/walkpost/fleet/observe/Comparison.java
+++ b/fleet/src/main/java/walkpost/fleet/observe/Comparison.java
@@ -33,6 +33,8 @@
     private long seq;
     private long movedUs;
     private BitSet parts;
+    /** Whether the copy here has changed by it: then it is worth comparing again at once. */
+    private boolean gained;
     private final Map<Order.Key, Long> theirs = new HashMap<>();
     private final Set<Integer> leaves = new LinkedHashSet<>();
     private final List<Order.Key> wanted = new ArrayList<>();
@@ -76,7 +78,12 @@
         send.to(voter, new ObserveMessage.Leaves(seq, asking, under));
     }
 
-    /** What stands at the voter in the leaves that differ. Returns whether the comparison is over. */
+    /**
+     * What stands at the voter in the leaves that differ. Returns whether the comparison is over and the copy here has changed by it.
+     *
+     * @param awayUs since when this copy is not known to be the fleet's. Where it never was, nobody would take what it has more of, and
+     *     it has acted on nothing of it: the voter's slots are taken in place of its own
+     */
     boolean stamps(long nowUs, String from, ObserveMessage.Stamps stamps, long awayUs, Send send) {
         if (!from.equals(with) || stamps.seq() != seq || stamps.part() < 0 || stamps.part() >= stamps.parts()) {
             return false;
@@ -100,15 +107,26 @@
                 wanted.add(key);
             }
         });
-        offer(awayUs, send);
+        if (awayUs < Observer.NEVER_US) {
+            offer(awayUs, send);
+        } else {
+            wanted.forEach(table::drop);
+            List<Order.Key> more = more().stream().map(Slot::key).toList();
+            more.forEach(table::drop);
+            gained |= !more.isEmpty();
+        }
         return next(nowUs, send);
     }
 
-    /** Slots that were asked for have come and are joined. Returns whether the comparison is over. */
-    boolean slots(long nowUs, String from, List<Slot> slots, Send send) {
+    /**
+     * Slots that were asked for have come and are joined, which changed the copy here or not. Returns whether the comparison is over and
+     * it was changed.
+     */
+    boolean slots(long nowUs, String from, List<Slot> slots, boolean changed, Send send) {
         if (!from.equals(with)) {
             return false;
         }
+        gained |= changed;
         slots.forEach(slot -> asked.remove(slot.key()));
         movedUs = nowUs;
         return asked.isEmpty() && parts != null && next(nowUs, send);
@@ -121,8 +139,9 @@
 
     private boolean next(long nowUs, Send send) {
         if (wanted.isEmpty()) {
+            boolean better = gained;
             end();
-            return true;
+            return better;
         }
         List<Order.Key> asking = List.copyOf(wanted.subList(0, Math.min(KEYS_AT_ONCE, wanted.size())));
         wanted.subList(0, asking.size()).clear();
@@ -134,10 +153,7 @@
 
     /** Offers what stands here and not at the voter: one message of it, as others may have the rest. */
     private void offer(long awayUs, Send send) {
-        List<Slot> more = new ArrayList<>();
-        for (int leaf : leaves) {
-            table.tree().entries(leaf).keySet().stream().filter(key -> !theirs.containsKey(key)).map(table::slot).forEach(more::add);
-        }
+        List<Slot> more = more();
         if (!more.isEmpty()) {
             List<List<Slot>> all = Sizes.parts(more, Sizes::of);
             send.to(with, new ObserveMessage.Offer(awayUs, all.get((int) Math.floorMod(seed + seq, (long) all.size()))));
@@ -145,8 +161,18 @@
         }
     }
 
+    /** Returns what stands here, in the leaves that differ, and not at the voter. */
+    private List<Slot> more() {
+        List<Slot> more = new ArrayList<>();
+        for (int leaf : leaves) {
+            table.tree().entries(leaf).keySet().stream().filter(key -> !theirs.containsKey(key)).map(table::slot).forEach(more::add);
+        }
+        return more;
+    }
+
     private void end() {
         with = null;
+        gained = false;
         parts = null;
         theirs.clear();
         leaves.clear();
--- a/fleet/src/main/java/walkpost/fleet/observe/Observer.java
+++ b/fleet/src/main/java/walkpost/fleet/observe/Observer.java
@@ -197,23 +197,30 @@
 
     private void slots(long nowUs, String from, ObserveMessage.Slots slots, Send send) {
         List<Slot> more = new ArrayList<>();
+        boolean changed = false;
         for (Slot slot : slots.slots()) {
-            join(nowUs, slot);
+            changed |= join(nowUs, slot);
             Slot joined = table.slot(slot.key());
-            if (!slot.none() && !SlotRule.removed(joined) && !joined.equals(SlotRule.join(slot, slot))) {
+            // Where nothing stands on either side, each forgets that by itself; but a removal ends what stands at the voter.
+            boolean nothing = SlotRule.removed(slot) && SlotRule.removed(joined);
+            if (!slot.none() && !nothing && !joined.equals(SlotRule.join(slot, slot))) {
                 more.add(joined);
             }
         }
-        comparison.more(from, controlAgeUs(nowUs), more, send);
-        if (comparison.slots(nowUs, from, slots.slots(), send)) {
+        if (sure) {
+            comparison.more(from, controlAgeUs(nowUs), more, send);
+        }
+        if (comparison.slots(nowUs, from, slots.slots(), changed, send)) {
             feeds.beatSoon(nowUs, from);
         }
     }
 
-    private void join(long nowUs, Slot slot) {
-        if (table.join(nowUs, slot)) {
+    private boolean join(long nowUs, Slot slot) {
+        boolean changed = table.join(nowUs, slot);
+        if (changed) {
             untold.add(slot.key());
         }
+        return changed;
     }
 
     private void settle(long nowUs, Consumer<ObserverAction> actions) {
--- a/fleet/src/main/java/walkpost/fleet/observe/SlotTable.java
+++ b/fleet/src/main/java/walkpost/fleet/observe/SlotTable.java
@@ -68,6 +68,13 @@
         }
     }
 
+    /** Takes a key's slot out. */
+    void drop(Order.Key key) {
+        slots.remove(key);
+        tree.remove(key, hashOf(key));
+        removedUs.remove(key);
+    }
+
     /** Forgets removals that are older than this. */
     void forget(long nowUs, long olderUs) {
         List<Order.Key> old = new ArrayList<>();
@@ -92,12 +99,6 @@
         return all;
     }
 
-    private void drop(Order.Key key) {
-        slots.remove(key);
-        tree.remove(key, hashOf(key));
-        removedUs.remove(key);
-    }
-
     private static long hashOf(Order.Key key) {
         return Shards.hash(key.topic(), key.subject());
     }
--- a/fleet/src/test/java/walkpost/fleet/observe/ObserverTest.java
+++ b/fleet/src/test/java/walkpost/fleet/observe/ObserverTest.java
@@ -14,6 +14,7 @@
 import walkpost.fleet.copy.HashTree;
 import walkpost.fleet.copy.Order;
 import walkpost.fleet.copy.Slot;
+import walkpost.fleet.copy.SlotRule;
 import walkpost.fleet.member.Life;
 
 class ObserverTest {
@@ -185,6 +186,56 @@
         assertThat(world.acted(O, World.KEY)).containsExactly("\"o1\"");
     }
 
+    @Test
+    void copyThatNeverWasLevelGivesWayToALevelVoters() {
+        World world = new World("a", "b");
+        world.voter("a", "");
+        world.voter("b", "");
+        world.at("a", new FeedEvent.Level(false));
+        world.at("b", new FeedEvent.Level(false));
+        world.observer(O, "");
+        world.run(4 * World.S);
+        // Pushed by voters that then lose all they held: nobody would take it from a copy that never was the fleet's.
+        Order.Key other = new Order.Key("placement", "l2");
+        world.change(World.slot(World.KEY, "o1"));
+        world.change(World.slot(other, "o2", "o3"));
+        world.run(World.S);
+        world.change(Slot.empty(World.KEY));
+        world.change(Slot.empty(other));
+        world.change(World.slot(other, "o4"));
+        world.at("a", new FeedEvent.Level(true));
+        world.at("b", new FeedEvent.Level(true));
+        world.run(6 * World.S);
+        assertThat(world.observers.get(O).level()).isTrue();
+        assertThat(world.acted(O, World.KEY)).isEmpty();
+        assertThat(world.acted(O, other)).containsExactly("\"o4\"");
+    }
+
+    @Test
+    void removalThatVotersLostIsOfferedWhereWhatItEndedStandsAgain() {
+        World world = joined();
+        Slot stood = World.slot(World.KEY, "o1");
+        Slot removed = SlotRule.with(stood, new Order(World.KEY, "o2", 2, List.of("o1"), null, "\"o1\"", new Life("a", 1)));
+        world.change(removed);
+        world.run(World.S);
+        world.change(Slot.empty(World.KEY));
+        world.change(stood);
+        world.run(3 * World.S);
+        assertThat(world.asked.get("a")).contains(new FeedAction.Offer(List.of(removed)));
+    }
+
+    @Test
+    void comparisonThatChangesNothingIsNotBegunAnewAtOnce() {
+        World world = joined();
+        // What only the observer holds, and the voters' shards do not take: they have no room, say.
+        world.lost = message -> message.message() instanceof ObserveMessage.Taken;
+        world.at(O, received("a", new ObserveMessage.Push(1, 0, List.of(World.slot(World.KEY, "o1")))));
+        int before = world.messages(ObserveMessage.Beat.class).size();
+        world.run(10 * World.S);
+        assertThat(world.messages(ObserveMessage.Offer.class)).isNotEmpty();
+        assertThat(world.messages(ObserveMessage.Beat.class).size() - before).isLessThan(20);
+    }
+
     @Test
     void refusalIsPassedOnOnlyWhenNoVoterThatWasAskedMayStillCarryItOut() {
         World world = joined();
