Refuse a part of impossibly many, whose number alone cost 256 MB

Cause: stamps and answers that come in parts were counted in a BitSet by a number from the message; a garbled one near 2^31 took 256 MB. Found while writing ObserverTest, where one test with such messages took 1.5 s. The shards' comparing had the same. Change: Sizes.part checks number and count, for all three readers; 65,536 parts of 20 KB are far beyond what any of them sends. Measured: ObserverTest.partOfImpossiblyManyCostsNoMemory, which fails without it.

--- a/fleet/src/main/java/walkpost/fleet/copy/CatchUp.java
+++ b/fleet/src/main/java/walkpost/fleet/copy/CatchUp.java
@@ -100,7 +100,7 @@
     /** Which slots another has where the leaves differ. */
     void slotStamps(long nowUs, String from, CopyMessage.SlotStamps stamps) {
         Round round = rounds.get(from);
-        if (round == null || round.number != stamps.round() || stamps.part() < 0 || stamps.part() >= stamps.parts()) {
+        if (round == null || round.number != stamps.round() || !Sizes.part(stamps.part(), stamps.parts())) {
             return;
         }
         round.move(nowUs);
--- a/fleet/src/main/java/walkpost/fleet/copy/Sizes.java
+++ b/fleet/src/main/java/walkpost/fleet/copy/Sizes.java
@@ -8,6 +8,8 @@
 public final class Sizes {
     /** What is put into one message, so that it stays below 32 KiB with all that goes around it. */
     public static final int MESSAGE = 20 * 1024;
+    /** Into no more parts does an answer go; one that says so is a message gone wrong, and would cost memory by the number alone. */
+    private static final int MOST_PARTS = 1 << 16;
     public static final int TOPIC = 64;
     public static final int SUBJECT = 256;
     public static final int ID = 64;
@@ -17,6 +19,11 @@
 
     private Sizes() { }
 
+    /** Returns whether there is such a part, from zero, among so many. */
+    public static boolean part(int part, int parts) {
+        return part >= 0 && part < parts && parts <= MOST_PARTS;
+    }
+
     /** Returns the length of a text in UTF-8; one that is absent takes none. */
     public static int utf8(String text) {
         if (text == null) {
--- a/fleet/src/main/java/walkpost/fleet/observe/Comparison.java
+++ b/fleet/src/main/java/walkpost/fleet/observe/Comparison.java
@@ -85,7 +85,7 @@
      *     it has acted on nothing of it: the voter's slots are taken in place of its own
      */
     boolean stamps(long nowUs, String from, ObserveMessage.Stamps stamps, long awayUs, Send send) {
-        if (!from.equals(with) || stamps.seq() != seq || stamps.part() < 0 || stamps.part() >= stamps.parts()) {
+        if (!from.equals(with) || stamps.seq() != seq || !Sizes.part(stamps.part(), stamps.parts())) {
             return false;
         }
         movedUs = nowUs;
--- a/fleet/src/main/java/walkpost/fleet/observe/Inquiries.java
+++ b/fleet/src/main/java/walkpost/fleet/observe/Inquiries.java
@@ -12,6 +12,7 @@
 import java.util.function.BiConsumer;
 import walkpost.fleet.copy.Fact;
 import walkpost.fleet.copy.Order;
+import walkpost.fleet.copy.Sizes;
 
 /**
  * What operators ask of all voters at once, fetched only then: owns the questions that are open. Any member may ask, voters among them
@@ -66,8 +67,8 @@
     public void received(long nowUs, String from, ObserveMessage message) {
         if (message instanceof ObserveMessage.Facts answer) {
             Question question = open.get(answer.seq());
-            if (question == null || !question.facts || !question.silent.contains(from) || answer.part() < 0
-                    || answer.part() >= answer.parts()) {
+            if (question == null || !question.facts || !question.silent.contains(from)
+                    || !Sizes.part(answer.part(), answer.parts())) {
                 return;
             }
             answer.facts().forEach(fact -> question.found.merge(fact.key(), fact, (a, b) -> NEWER.compare(a, b) >= 0 ? a : b));
--- a/fleet/src/test/java/walkpost/fleet/observe/ObserverTest.java
+++ b/fleet/src/test/java/walkpost/fleet/observe/ObserverTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.lang.management.ManagementFactory;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -377,6 +378,24 @@
         assertThat(world.acted(O, World.KEY)).containsExactly("\"o1\"");
     }
 
+    @Test
+    void partOfImpossiblyManyCostsNoMemory() {
+        World world = joined();
+        world.lost = message -> message.message() instanceof ObserveMessage.Push || message.message() instanceof ObserveMessage.Stamps;
+        world.change(World.slot(World.KEY, "o1"));
+        world.run(2_500 * World.MS);
+        var memory = (com.sun.management.ThreadMXBean) ManagementFactory.getThreadMXBean();
+        long before = memory.getCurrentThreadAllocatedBytes();
+        for (World.Sent leaves : List.copyOf(world.sent)) {
+            if (leaves.message() instanceof ObserveMessage.Leaves asked) {
+                world.at(O, received(leaves.to(),
+                        new ObserveMessage.Stamps(asked.seq(), Integer.MAX_VALUE - 1, Integer.MAX_VALUE, new int[0], List.of())));
+            }
+        }
+        assertThat(world.messages(ObserveMessage.Leaves.class)).isNotEmpty();
+        assertThat(memory.getCurrentThreadAllocatedBytes() - before).isLessThan(16 << 20);
+    }
+
     private static ObserverEvent received(String from, ObserveMessage message) {
         return new ObserverEvent.Received(from, message);
     }
