--- a/fleet/src/test/java/walkpost/fleet/sim/Network.java
+++ b/fleet/src/test/java/walkpost/fleet/sim/Network.java
@@ -65,6 +65,11 @@
         part[node] = -1;
     }
 
+    /** Ends what {@link #isolate} began, or a cut, for this node. */
+    void rejoin(int node) {
+        part[node] = 0;
+    }
+
     /** From now on all goes well. */
     void heal() {
         Arrays.fill(silent, false);
--- a/fleet/src/test/java/walkpost/fleet/sim/Node.java
+++ b/fleet/src/test/java/walkpost/fleet/sim/Node.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import walkpost.fleet.copy.CopyAction;
 import walkpost.fleet.copy.CopyEvent;
 import walkpost.fleet.copy.CopyMessage;
@@ -18,6 +19,8 @@
 import walkpost.fleet.member.MemberAction;
 import walkpost.fleet.member.MemberEvent;
 import walkpost.fleet.member.Membership;
+import walkpost.fleet.observe.FeedEvent;
+import walkpost.fleet.observe.ObserverEvent;
 
 /**
  * One computer: its clocks and disk, which outlast its process, and the process while there is one. The process does what the fleet's
@@ -27,13 +30,17 @@
     private static final long TICK_US = 50 * Timeline.MS;
     private static final int SOCKET_BUFFER = 256;
     /** What the shell does not send any more, as it waited for the disk, or the process stood still; facts do not count that time. */
-    private static final long LATE_US = Timeline.S;
+    static final long LATE_US = Timeline.S;
     private static final long LATE_FACTS_US = Timeline.S / 10;
 
     final int index;
     final String name;
     final Address address;
     final boolean directory;
+    /** Whether it keeps copies of shards; else it is an observer. */
+    final boolean copies;
+    /** Where it runs, in a layout with observers. */
+    final String region;
     private final Cluster cluster;
     private final Timeline time;
     private final double rate;
@@ -55,6 +62,8 @@
         address = new Address("127.0.0." + (index + 1), 7401);
         rate = 1 + time.between(-20, 20) / 1000.0;
         epochUs = time.between(0, 1_000_000 * Timeline.S);
+        copies = cluster.layout == Layout.ALL_COPY || index < Cluster.VOTERS;
+        region = cluster.layout == Layout.ALL_COPY ? "" : Cluster.REGIONS.get(time.below(Cluster.REGIONS.size()));
         slowestWriteUs = time.chance(0.2) ? 300 * Timeline.MS : 5 * Timeline.MS;
         for (int shard = 0; shard < cluster.shards; shard++) {
             disk.add(new LinkedHashMap<>());
@@ -151,8 +160,14 @@
     final class Process {
         final Life life;
         final Membership membership;
+        /** Empty at an observer. */
         final List<Lane> lanes = new ArrayList<>();
+        /** Null where there are no observers, and at one. */
+        final FeedLane feed;
+        /** Null unless this is an observer. */
+        final ObserverLane observer;
         private final Deque<Runnable> waiting = new ArrayDeque<>();
+        private final List<Runnable> owed = new ArrayList<>();
         private boolean stopped;
         private boolean tickDue;
         private int ticks;
@@ -162,9 +177,11 @@
         private Process(Life life) {
             this.life = life;
             membership = new Membership(Cluster.MEMBERS, life, address, cluster.seeds(), time.nextSeed());
-            for (int shard = 0; shard < cluster.shards; shard++) {
+            for (int shard = 0; copies && shard < cluster.shards; shard++) {
                 lanes.add(new Lane(this, shard, new Shard(Cluster.COPY, life, cluster.configured, time.nextSeed())));
             }
+            feed = copies && cluster.layout == Layout.FEW_VOTE ? new FeedLane(cluster, this) : null;
+            observer = copies ? null : new ObserverLane(cluster, this, time.nextSeed());
         }
 
         Node node() {
@@ -176,10 +193,13 @@
         }
 
         private void begin() {
-            if (directory) {
+            if (directory && copies) {
                 long awayUs = Math.max(0, wallMs() - endedMs) * 1000;
                 lanes.forEach(lane -> lane.handle(
                         new CopyEvent.Restored(cluster.plant.restored(List.copyOf(disk(lane.shard))), awayUs)));
+                if (feed != null) {
+                    lanes.forEach(lane -> feed.changed(lane.machine.slots()));
+                }
             }
             time.after(time.between(0, TICK_US), this::tick);
         }
@@ -202,9 +222,28 @@
                     lane.handle(new CopyEvent.Tick());
                 }
             }
+            tickObserving();
             cluster.oracle.ticked(this);
         }
 
+        private void tickObserving() {
+            if (feed != null && runs()) {
+                feed.handle(new FeedEvent.Tick());
+            }
+            if (observer != null && runs()) {
+                observer.handle(new ObserverEvent.Tick());
+            }
+        }
+
+        /** Returns whether a trap was due at this action, and sprang. */
+        boolean sprang() {
+            boolean springs = trapIn >= 0 && trapIn-- == 0;
+            if (springs) {
+                trap.run();
+            }
+            return springs;
+        }
+
         private void resume() {
             if (process != this) {
                 return;
@@ -218,9 +257,18 @@
                 burst.add(time.below(burst.size() + 1), () -> {
                     handle(new MemberEvent.Tick());
                     lanes.forEach(lane -> lane.handle(new CopyEvent.Tick()));
+                    tickObserving();
                 });
             }
-            lanes.forEach(Lane::drain);
+            List.copyOf(owed).forEach(Runnable::run);
+            owed.clear();
+            lanes.forEach(lane -> lane.out.drain());
+            if (feed != null) {
+                feed.drain();
+            }
+            if (observer != null) {
+                observer.drain();
+            }
             burst.forEach(this::receive);
         }
 
@@ -233,6 +281,15 @@
             }
         }
 
+        /** Has the process do something of its own, now or when it goes on; unlike a message it never gets lost. */
+        void whenItRuns(Runnable work) {
+            if (runs()) {
+                work.run();
+            } else {
+                owed.add(work);
+            }
+        }
+
         void handle(MemberEvent event) {
             List<MemberAction> actions = new ArrayList<>();
             membership.handle(clockUs(), cluster.plant.reaching(Node.this, event), actions::add);
@@ -251,7 +308,18 @@
         }
 
         private void tellPeers() {
-            CopyEvent.Peers peers = new CopyEvent.Peers(membership.roundTripUs());
+            Map<String, Long> living = membership.roundTripUs();
+            if (cluster.layout == Layout.FEW_VOTE) {
+                living = new TreeMap<>(living);
+                living.keySet().retainAll(cluster.configured);
+            }
+            if (feed != null && runs()) {
+                feed.handle(new FeedEvent.Voters(living.keySet()));
+            }
+            if (observer != null && runs()) {
+                observer.handle(new ObserverEvent.Voters(living));
+            }
+            CopyEvent.Peers peers = new CopyEvent.Peers(living);
             for (Lane lane : lanes) {
                 if (runs()) {
                     lane.handle(peers);
@@ -266,15 +334,14 @@
         final int shard;
         final Shard machine;
         final Oracle.View view = new Oracle.View();
-        private record Due(long madeUs, CopyAction action) { }
-
-        private final Deque<Due> due = new ArrayDeque<>();
+        private final Outgoing<CopyAction> out;
         private List<Slot> writing;
 
         Lane(Process owner, int shard, Shard machine) {
             this.owner = owner;
             this.shard = shard;
             this.machine = machine;
+            out = new Outgoing<>(owner, time, this::carry);
         }
 
         void handle(CopyEvent event) {
@@ -287,30 +354,25 @@
                 for (CopyAction action : actions) {
                     for (CopyAction leaving : cluster.plant.leaving(Node.this, shard, action)) {
                         cluster.oracle.emitted(this, leaving);
-                        due.add(new Due(time.nowUs(), leaving));
+                        out.add(leaving);
                     }
                 }
             }
-            drain();
+            out.drain();
         }
 
-        private void drain() {
-            while (owner.runs() && writing == null && !due.isEmpty()) {
-                if (owner.trapIn >= 0 && owner.trapIn-- == 0) {
-                    owner.trap.run();
-                    continue;
+        private void carry(CopyAction action, long madeUs) {
+            if (action instanceof CopyAction.Send send) {
+                boolean facts = send.message() instanceof CopyMessage.Facts;
+                if (time.nowUs() - madeUs <= (facts ? LATE_FACTS_US : LATE_US)) {
+                    cluster.carry(this, send);
                 }
-                Due next = due.remove();
-                CopyAction action = next.action;
-                if (action instanceof CopyAction.Send send) {
-                    boolean facts = send.message() instanceof CopyMessage.Facts;
-                    if (time.nowUs() - next.madeUs <= (facts ? LATE_FACTS_US : LATE_US)) {
-                        cluster.carry(this, send);
-                    }
-                } else if (action instanceof CopyAction.Persist persist) {
-                    persist(persist.slots());
-                } else {
-                    cluster.oracle.carried(this, action);
+            } else if (action instanceof CopyAction.Persist persist) {
+                persist(persist.slots());
+            } else {
+                cluster.oracle.carried(this, action);
+                if (owner.feed != null) {
+                    owner.feed.carried(this, action);
                 }
             }
         }
@@ -318,13 +380,23 @@
         private void persist(List<Slot> slots) {
             if (directory) {
                 writing = slots;
+                out.hold();
                 time.after(time.between(0, slowestWriteUs), () -> {
                     if (process == owner) {
                         write(slots);
                         writing = null;
-                        drain();
+                        feed(slots);
+                        out.release();
                     }
                 });
+            } else {
+                feed(slots);
+            }
+        }
+
+        private void feed(List<Slot> slots) {
+            if (owner.feed != null) {
+                owner.whenItRuns(() -> owner.feed.changed(slots));
             }
         }
 
--- a/fleet/src/test/java/walkpost/fleet/sim/Oracle.java
+++ b/fleet/src/test/java/walkpost/fleet/sim/Oracle.java
@@ -43,7 +43,10 @@
         final String payload;
         private final Deque<Node.Process> open = new ArrayDeque<>();
         private boolean uncertain;
+        /** Since when a majority holds it, for all that the oracle knows. */
         private long acknowledgedUs = -1;
+        /** Whether a caller was told so. */
+        private boolean confirmed;
         private String last = "never answered";
 
         private Call(Order.Key key, String id, String replaces, String payload) {
@@ -54,7 +57,11 @@
         }
 
         private boolean refused() {
-            return open.isEmpty() && !uncertain && acknowledgedUs < 0;
+            return open.isEmpty() && !uncertain && !confirmed;
+        }
+
+        boolean acknowledgedBefore(long atUs) {
+            return acknowledgedUs >= 0 && acknowledgedUs < atUs;
         }
     }
 
@@ -94,11 +101,23 @@
     private final Set<Round> givenUp = new HashSet<>();
     private final Map<String, Long> diedUs = new HashMap<>();
     private final Set<Call> probes = new HashSet<>();
+    private final Map<Order, Long> proposedUs = new HashMap<>();
+    final ObserverOracle observers;
     private long lastKillUs = -1;
 
     Oracle(Cluster cluster, boolean directories) {
         this.cluster = cluster;
         this.directories = directories;
+        observers = new ObserverOracle(cluster, this);
+    }
+
+    Collection<Call> calls() {
+        return calls.values();
+    }
+
+    /** Returns whether voters that were killed have forgotten nothing. */
+    boolean remembered() {
+        return directories || lastKillUs < 0;
     }
 
     // What is done to the fleet.
@@ -127,8 +146,10 @@
     }
 
     void killed(Node node, Node.Process process) {
-        lastKillUs = cluster.time.nowUs();
-        diedUs.put(node.name, lastKillUs);
+        if (node.copies) {
+            lastKillUs = cluster.time.nowUs();
+        }
+        diedUs.put(node.name, cluster.time.nowUs());
         calls.values().stream().filter(call -> call.open.removeIf(open -> open == process)).forEach(call -> call.uncertain = true);
         process.lanes.forEach(lane -> see(lane.machine.slots(), node, !directories));
         lastTold.keySet().removeIf(key -> key.writer().equals(node.name));
@@ -159,8 +180,9 @@
         }
     }
 
-    private void decided(Order order) {
+    void decided(Order order) {
         if (decided.computeIfAbsent(order.id(), id -> new HashSet<>()).add(order)) {
+            onlyOnce(order);
             Set<String> by = promisedBy.getOrDefault(order.id(), Set.of());
             if (cluster.configured.stream().filter(by::contains).count() < cluster.majority()) {
                 throw new Violation(Rule.DECIDED, order + " is decided, and promised by " + by + " only");
@@ -179,6 +201,14 @@
         }
     }
 
+    /** An order that a majority holds is not carried out once more, whoever is asked for it. */
+    private void onlyOnce(Order order) {
+        Call call = calls.get(order.id());
+        if (call != null && remembered() && call.acknowledgedBefore(proposedUs.getOrDefault(order, -1L))) {
+            throw new Violation(Rule.ONCE, order + " is decided, and " + decided.get(order.id()) + " was acknowledged before");
+        }
+    }
+
     // What members say.
 
     /** A message has come to a computer that may be about to read it; how long its facts were on their ways is not what members count. */
@@ -249,6 +279,7 @@
         CopyMessage message = send.message();
         if (message instanceof CopyMessage.Propose asked) {
             promisedBy.computeIfAbsent(asked.order().id(), id -> new TreeSet<>()).add(lane.owner.node().name);
+            proposedUs.putIfAbsent(asked.order(), cluster.time.nowUs());
         } else if (message instanceof CopyMessage.Promised promised) {
             mustBeLevel(lane, message);
             cluster.time.note("%s[%d] promises %s round %d", lane.owner.node().name, lane.shard, promised.id(), promised.round());
@@ -273,7 +304,7 @@
         }
     }
 
-    private void mustBeHeld(Order order) {
+    void mustBeHeld(Order order) {
         if (!directories) {
             cluster.nodes.stream().filter(Node::alive).forEach(node -> node.process().lanes.forEach(
                     lane -> see(lane.machine.slots(), node, true)));
@@ -284,33 +315,44 @@
         }
     }
 
-    /** An answer reaches its caller. */
+    /** A shard has answered: whoever called this process, or an observer's order that was handed on to it. */
     void carried(Node.Lane lane, CopyAction action) {
         if (action instanceof CopyAction.Acknowledged news) {
-            cluster.time.note("%s acknowledged at %s", news.order(), lane.owner.node().name);
-            Call call = closed(lane, news.id());
-            call.acknowledgedUs = call.acknowledgedUs < 0 ? cluster.time.nowUs() : call.acknowledgedUs;
-            decided(news.order());
+            acknowledged(lane.owner, news.id(), news.order());
         } else if (action instanceof CopyAction.Refused news) {
-            cluster.time.note("%s refused at %s: %s", news.id(), lane.owner.node().name, news.why().getMessage());
-            Call call = closed(lane, news.id());
-            call.last = news.why().getMessage();
-            call.uncertain |= news.why() instanceof FleetException.Uncertain;
-            if (call.refused() && decided.containsKey(call.id)) {
-                decided.get(call.id).forEach(this::decided);
-            }
+            refused(lane.owner, news.id(), news.why());
         }
     }
 
-    private Call closed(Node.Lane lane, String id) {
+    void acknowledged(Node.Process process, String id, Order order) {
+        cluster.time.note("%s acknowledged at %s", order, process.node().name);
         Call call = calls.get(id);
-        call.open.removeFirstOccurrence(lane.owner);
-        return call;
+        call.confirmed |= call.open.removeFirstOccurrence(process);
+        call.acknowledgedUs = call.acknowledgedUs < 0 ? cluster.time.nowUs() : call.acknowledgedUs;
+        decided(order);
+    }
+
+    /** Only what a caller is told counts: an observer may try another voter. */
+    void refused(Node.Process process, String id, FleetException why) {
+        cluster.time.note("%s refused at %s: %s", id, process.node().name, why.getMessage());
+        Call call = calls.get(id);
+        if (!call.open.removeFirstOccurrence(process)) {
+            return;
+        }
+        call.last = why.getMessage();
+        call.uncertain |= why instanceof FleetException.Uncertain
+                || why instanceof FleetException.FromVoter && why.getMessage().contains(" says Uncertain: ");
+        if (call.refused() && decided.containsKey(call.id)) {
+            decided.get(call.id).forEach(this::decided);
+        }
     }
 
     // What members show.
 
     void ticked(Node.Process process) {
+        if (process.observer != null) {
+            observers.ticked(process.observer);
+        }
         for (Node.Lane lane : process.lanes) {
             if (lane.view.samples++ % SAMPLE_TICKS == 0) {
                 facts(lane);
@@ -370,7 +412,8 @@
         }
     }
 
-    private void acted(String name, List<Order> heads, Acting acting, Acting stands) {
+    /** What is acted on and was told has to follow from the heads. */
+    static void acted(String name, List<Order> heads, Acting acting, Acting stands) {
         if (heads.isEmpty()) {
             return;
         }
@@ -390,22 +433,31 @@
     }
 
     private void kept(String name, Call call, Slot slot) {
-        Deque<String> open = new ArrayDeque<>(List.of(call.id));
-        Set<String> seen = new HashSet<>();
         Set<String> heads = new HashSet<>();
         if (slot != null) {
             slot.heads().forEach(head -> heads.add(head.id()));
         }
+        if (successors(call.id).stream().noneMatch(heads::contains)) {
+            throw new Violation(Rule.KEPT, call.id + ", acknowledged, neither stands at " + name + " nor was replaced: " + slot);
+        }
+    }
+
+    /** Returns an order's id and those of all that have replaced it, one after the other. */
+    Set<String> successors(String first) {
+        Deque<String> open = new ArrayDeque<>(List.of(first));
+        Set<String> seen = new HashSet<>();
         while (!open.isEmpty()) {
             String id = open.remove();
-            if (heads.contains(id)) {
-                return;
-            }
             if (seen.add(id)) {
                 open.addAll(replacedBy.getOrDefault(id, Set.of()));
             }
         }
-        throw new Violation(Rule.KEPT, call.id + ", acknowledged, neither stands at " + name + " nor was replaced: " + slot);
+        return seen;
+    }
+
+    /** Returns whether one of these orders takes back what stood. */
+    boolean removal(Collection<String> ids) {
+        return ids.stream().flatMap(id -> decided.getOrDefault(id, Set.of()).stream()).anyMatch(order -> order.payload() == null);
     }
 
     // The end.
@@ -454,8 +506,7 @@
                 throw new Violation(Rule.MEET, node.name + " has not heard " + key + " " + told + " but " + facts.get(key));
             }
         });
-        boolean remembered = directories || cluster.nodes.stream().filter(each -> each.alive()
-                && cluster.configured.contains(each.name) && diedUs.getOrDefault(each.name, -1L) < 0).count() >= cluster.majority();
+        boolean remembered = majorityRemembers();
         for (Call call : calls.values()) {
             if (call.acknowledgedUs >= 0 && cluster.shardOf(call.key.topic(), call.key.subject()) == lane.shard && remembered) {
                 kept(node.name, call, slots.get(call.key));
@@ -468,6 +519,12 @@
         }
     }
 
+    /** Returns whether a majority of the voters has lived all the time, or forgets nothing when it dies. */
+    boolean majorityRemembers() {
+        return directories || cluster.nodes.stream().filter(each -> each.alive()
+                && cluster.configured.contains(each.name) && diedUs.getOrDefault(each.name, -1L) < 0).count() >= cluster.majority();
+    }
+
     private static Map<Order.Key, Slot> bySlot(Node.Lane lane) {
         Map<Order.Key, Slot> slots = new HashMap<>();
         lane.machine.slots().forEach(slot -> slots.put(slot.key(), slot));
--- a/fleet/src/test/java/walkpost/fleet/sim/Violation.java
+++ b/fleet/src/test/java/walkpost/fleet/sim/Violation.java
@@ -12,6 +12,8 @@
         KEPT,
         /** Only an order that a majority has promised is ever in force. */
         DECIDED,
+        /** What a majority holds is not decided once more, under the same id. */
+        ONCE,
         /** A refused order is nowhere in force. */
         REFUSED,
         /** No fact is acted on beyond its bound, or told younger than it is. */
