Tell peers anew only where one that votes has changed

Every member told its lanes of all peers, a map of the whole fleet, for each member of which something else was held: the square of those who join or are suspected, in every member. Where members vote all, nothing changes.

--- a/fleet/src/main/java/walkpost/fleet/shell/Fleet.java
+++ b/fleet/src/main/java/walkpost/fleet/shell/Fleet.java
@@ -151,7 +151,7 @@
         var random = ThreadLocalRandom.current();
         var sender = new Sender(file, counters, codec, transport, address);
         members = new MemberLane(new Membership(settings.member, life, address, file.seeds(), random.nextLong()), life, Clock.MONOTONIC,
-                counters, transport, sender::encoded, Set.copyOf(file.voters()), this::tellPeers);
+                counters, transport, sender::encoded, Set.copyOf(file.voters()), this::changed);
         sender.knows(members);
         part = store == null ? new ObservingPart(file, life, counters, threads.workers(), sender, random.nextLong())
                 : new VotingPart(file, life, settings.copy, store, counters, transport, threads.workers(), sender, random::nextLong);
@@ -195,6 +195,16 @@
         part.tick();
     }
 
+    /**
+     * Where some vote, only those are peers to anybody: to tell all peers anew of each of hundreds who join, or come under suspicion, would
+     * cost every member the square of them.
+     */
+    private void changed(Member member) {
+        if (file.voters().isEmpty() || file.voters().contains(member.life().name())) {
+            tellPeers();
+        }
+    }
+
     private void tellPeers() {
         part.peers(members.peers());
     }
--- a/fleet/src/main/java/walkpost/fleet/shell/MemberLane.java
+++ b/fleet/src/main/java/walkpost/fleet/shell/MemberLane.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.locks.Lock;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import walkpost.fleet.copy.CopyEvent;
 import walkpost.fleet.member.Life;
@@ -34,16 +35,16 @@
     /** What was last told of each; read by any thread, for the addresses and lives of those who speak. */
     private final Map<String, Member> told = new ConcurrentHashMap<>();
     private final List<Outlet> outlets = new ArrayList<>();
-    private final Runnable changed;
+    private final Consumer<Member> changed;
     private final Set<String> always;
     private volatile Life self;
 
     /**
      * @param always names that are told as peers whatever is held of them: after a cut nobody waits until membership has found them again
-     * @param changed run after who lives may have changed
+     * @param changed told of each member of which something else is held now
      */
     MemberLane(Membership membership, Life self, Clock clock, Counters counters, Transport transport,
-            Function<MemberMessage, byte[]> encoder, Set<String> always, Runnable changed) {
+            Function<MemberMessage, byte[]> encoder, Set<String> always, Consumer<Member> changed) {
         this.membership = membership;
         this.self = self;
         this.clock = clock;
@@ -91,7 +92,7 @@
             Log.info("member_changed", fields(member));
         }
         outlets.forEach(outlet -> outlet.put(listener -> listener.member(member)));
-        changed.run();
+        changed.accept(member);
     }
 
     private static Object[] fields(Member member) {
