Say 'may be decided' where it is not known

Need: an observer tells Uncertain also where a voter that it asked has not answered, and the text claimed that the order is decided. The remedy, by which the lab knows it, is as it was.

--- a/fleet/src/main/java/walkpost/fleet/FleetException.java
+++ b/fleet/src/main/java/walkpost/fleet/FleetException.java
@@ -68,13 +68,13 @@
         }
     }
 
-    /** An order is decided, but it is not known whether a majority holds it: it may be in force soon, or after a heal. */
+    /** It is not known whether an order is decided, or whether a majority holds it: it may be in force soon, or after a heal. */
     public static final class Uncertain extends FleetException {
         private static final long serialVersionUID = 1L;
 
         /** Names the order and who has not confirmed it. */
         public Uncertain(String order, Collection<String> missing) {
-            super(order + " is decided, but a majority has not confirmed it; not heard from: " + list(missing),
+            super(order + " may be decided: a majority has not confirmed it; not heard from: " + list(missing),
                     "send the same order again with the same id: it is carried out once, and answered when it stands");
         }
     }
