Write the processes' secret once, and name a process that has ended

ProcessesTest wrote the secret anew for each process, so that one that was just reading it found no bytes and ended: verify failed once by its wait of 120 s, and 4 of 12 tests in a row on a busy machine. It is written before the first starts, and a process that ends, or says nothing, fails its test with all that it said. ObservingTest held a member alone for never level, though it may be so at once: it is now one whose majority is missing, and the one alone is awaited and then held to know all.

--- a/fleet/src/test/java/walkpost/fleet/shell/ObservingTest.java
+++ b/fleet/src/test/java/walkpost/fleet/shell/ObservingTest.java
@@ -480,6 +480,15 @@
                 .hasCauseInstanceOf(BadCall.class);
         assertThat(alone.lives()).isEmpty();
         assertThat(alone.feeds()).isEmpty();
-        assertThat(alone.controlAgeUs()).isEqualTo(FleetHandle.NEVER_US);
+        assertThat(alone.voters()).isEmpty();
+        var heard = new Known();
+        alone.listen(Runnable::run, heard);
+        heard.await(k -> k.level);
+        assertThat(alone.controlAgeUs()).isZero();
+        // Two of three are missing, so that it never becomes level.
+        Fleet never = Fleet.open(new FleetFile("gent", "n1", Loopback.ANY, null, List.of("n1", "n2", "n3"), List.of(), SECRET, null, SHARDS,
+                Map.of()), threads);
+        others.add(never);
+        assertThat(never.controlAgeUs()).isEqualTo(FleetHandle.NEVER_US);
     }
 }
--- a/fleet/src/test/java/walkpost/fleet/shell/ProcessesTest.java
+++ b/fleet/src/test/java/walkpost/fleet/shell/ProcessesTest.java
@@ -14,7 +14,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.AfterEach;
@@ -40,6 +42,7 @@
         private final Process process;
         private final List<String> lines = new ArrayList<>();
         private final List<Waiting> waiting = new ArrayList<>();
+        private boolean ended;
 
         private Child(Process process) {
             this.process = process;
@@ -56,6 +59,13 @@
             } catch (IOException e) {
                 // It was killed.
             }
+            over();
+        }
+
+        /** Nobody is to wait for a process that has ended. */
+        private synchronized void over() {
+            waiting.forEach(one -> one.done.completeExceptionally(new IllegalStateException("it has ended, having said " + lines)));
+            ended = true;
         }
 
         private synchronized void said(String line) {
@@ -67,9 +77,23 @@
             var one = new Waiting(what, new CompletableFuture<>());
             synchronized (this) {
                 lines.stream().filter(what).findFirst().ifPresent(one.done::complete);
+                if (ended) {
+                    one.done.completeExceptionally(new IllegalStateException("it has ended, having said " + lines));
+                }
                 waiting.add(one);
             }
-            return one.done.get(FAILED_S, TimeUnit.SECONDS);
+            try {
+                return one.done.get(FAILED_S, TimeUnit.SECONDS);
+            } catch (TimeoutException e) {
+                throw new AssertionError(state(), e);
+            }
+        }
+
+        /** Returns what may tell why something has not come. */
+        private String state() throws Exception {
+            CompletableFuture<String> state = next(line -> line.startsWith("state "));
+            say("state");
+            return state.get(FAILED_S, TimeUnit.SECONDS) + ", having said " + said(line -> true);
         }
 
         private synchronized List<String> said(Predicate<String> what) {
@@ -80,6 +104,9 @@
         private synchronized CompletableFuture<String> next(Predicate<String> what) {
             var one = new Waiting(what, new CompletableFuture<>());
             waiting.add(one);
+            if (ended) {
+                one.done.completeExceptionally(new IllegalStateException("it has ended, having said " + lines));
+            }
             return one.done;
         }
 
@@ -110,7 +137,6 @@
     }
 
     private void start(String name) throws Exception {
-        Files.write(folder.resolve("fleet.key"), new byte[16]);
         List<String> seeds = new ArrayList<>();
         for (Child child : open.values()) {
             if (seeds.size() < VOTERS.size()) {
@@ -132,18 +158,24 @@
                 VOTERS.contains(name) ? "directory = \"" + name + "\"" : ""));
         open.put(name, new Child(new ProcessBuilder(ProcessHandle.current().info().command().orElseThrow(), "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1", "-Xmx64m", "-cp", System.getProperty("java.class.path"), MemberMain.class.getName(),
-                file.toString()).redirectError(ProcessBuilder.Redirect.DISCARD).start()));
+                file.toString()).redirectErrorStream(true).start()));
     }
 
     private void startAll() throws Exception {
+        // Once, before any of them reads it.
+        Files.write(folder.resolve("fleet.key"), new byte[16]);
         for (String name : VOTERS) {
             start(name);
         }
         for (String name : OBSERVERS) {
             start(name);
         }
-        for (Child child : open.values()) {
-            child.await("level true"::equals);
+        for (Map.Entry<String, Child> each : open.entrySet()) {
+            try {
+                each.getValue().await("level true"::equals);
+            } catch (AssertionError | ExecutionException e) {
+                throw new AssertionError(each.getKey() + " is not level; v1: " + open.get("v1").state(), e);
+            }
         }
     }
 
