Tell whoever waits for a list also where its call got no socket

Cause: without a socket Netty hands back a channel that was never registered. ListRequest cleaned up first, closing that channel threw "channel not registered to an event loop", and the one who waits was never told; only the call beside a silent one, 2.0 to 4.1 s later, brought the list. Class: cleaning up before telling, with an exception in the cleaning. Evidence: SystemCallFaultsTest on the program unchanged: the next call came with asked_again in the log, 4 of 4 errors. Change: Channels.close never throws, for channels without a socket or loop too; used by ListRequest and by an attempt whose connection is being opened. Exchange.broken closes its connection also where the option before it can't be set (by reading). Result: the test passes with it, both errors.

--- a/proxy/src/main/java/walkpost/proxy/Backends.java
+++ b/proxy/src/main/java/walkpost/proxy/Backends.java
@@ -424,7 +424,7 @@
             if (channel != null) {
                 channel.close();
             } else if (connecting != null) {
-                connecting.channel().close();
+                Channels.close(connecting.channel());
             }
             report(outcome, null);
         }
--- a/proxy/src/main/java/walkpost/proxy/Exchange.java
+++ b/proxy/src/main/java/walkpost/proxy/Exchange.java
@@ -264,8 +264,11 @@
     @Override
     public void broken() {
         answer = null;
-        connection.channel().config().setOption(ChannelOption.SO_LINGER, 0);
-        connection.channel().close();
+        try {
+            connection.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+        } finally {
+            connection.channel().close();
+        }
     }
 
     private void release() {
--- a/proxy/src/main/java/walkpost/proxy/ListRequest.java
+++ b/proxy/src/main/java/walkpost/proxy/ListRequest.java
@@ -125,6 +125,6 @@
 
     void end() {
         ended = true;
-        channel.close();
+        Channels.close(channel);
     }
 }
