Call discovery again at once, once, where an answer may have been lost on the way

Cause: what discovery has written counts as told, but an answer that broke off, a reset and a call that this machine could not even make all waited for the module's back-off (156 to 470 ms at first where asking is due within 10 s, up to 2.4 s), which is longer than the 0.3 s of grace. Class: a local, momentary error treated like a service that is overloaded. Change: CallFailure tells five ways to fail apart, RecallRule has the table of what follows: LOCAL is tried again each 5 to 40 ms for 1 s, as discovery sees nothing of it; BROKEN_ANSWER and ENDED_UNANSWERED once, within 20 and 120 ms, until the next sound answer; UNREACHABLE and REJECTED wait for the back-off as before. The log says kind, reason and version. ListRequest's Hearer is its Callback now.

--- a/proxy/src/main/java/walkpost/proxy/Backends.java
+++ b/proxy/src/main/java/walkpost/proxy/Backends.java
@@ -5,6 +5,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundBuffer;
@@ -81,13 +82,13 @@
     private final Set<String> named = new HashSet<>();
     private final Set<String> excluded = new HashSet<>();
 
-    Backends(Clock clock, EventLoop loop, Class<? extends Channel> transport, Sockets sockets, Buffers buffers,
+    Backends(Clock clock, EventLoop loop, ChannelFactory<? extends Channel> transport, Sockets sockets, Buffers buffers,
             long connIdleUs, long connectTimeoutUs) {
         this.clock = clock;
         this.loop = loop;
         this.sockets = sockets;
         this.buffers = buffers;
-        this.bootstrap = new Bootstrap().group(loop).channel(transport)
+        this.bootstrap = new Bootstrap().group(loop).channelFactory(transport)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, Headers.readingLittle())
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, Headers.WATER_MARK);
         tune(connIdleUs, connectTimeoutUs);
--- a/proxy/src/main/java/walkpost/proxy/Discovery.java
+++ b/proxy/src/main/java/walkpost/proxy/Discovery.java
@@ -4,6 +4,8 @@
 import walkpost.Balancer.ListKind;
 import walkpost.proxy.ListVersion.Verdict;
 import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
@@ -45,9 +47,11 @@
     private LongPoll fetch;
     private ListVersion version = ListVersion.NONE;
     private boolean settled;
+    private final RecallRule recall = new RecallRule();
 
-    Discovery(EventLoop loop, Proxy proxy, InetSocketAddress address, Balancer.Settings settings) {
-        this(loop, proxy, address, settings, (to, uri, connectMs, hearer) -> new ListRequest(loop, to, uri, connectMs, hearer)::end);
+    Discovery(EventLoop loop, ChannelFactory<Channel> transport, Proxy proxy, InetSocketAddress address, Balancer.Settings settings) {
+        this(loop, proxy, address, settings,
+                (to, uri, connectMs, callback) -> new ListRequest(loop, transport, to, uri, connectMs, callback)::end);
     }
 
     Discovery(EventLoop loop, Proxy proxy, InetSocketAddress address, Balancer.Settings settings, ListRequest.Maker requests) {
@@ -127,18 +131,24 @@
         fetch = new LongPoll(false, 0);
     }
 
-    private void failed(LongPoll poll) {
+    private void failed(LongPoll poll, CallFailure failure) {
         settled = true;
-        if (poll == watch) {
+        boolean watching = poll == watch;
+        if (watching) {
             watch = null;
         } else {
             fetch = null;
         }
         failed();
+        long againMs = watching ? recall.recallMs(failure, random.nextDouble()) : RecallRule.BACK_OFF;
+        if (againMs != RecallRule.BACK_OFF) {
+            loop.schedule(() -> watch(wanted), againMs, TimeUnit.MILLISECONDS);
+        }
     }
 
     private void answered(LongPoll poll, ListVersion asked, JsonNode list, long tookMs) {
         settled = true;
+        recall.answered();
         long number = list.path("version").asLong();
         boolean full = list.path("full").asBoolean();
         Verdict verdict = version.judge(asked, number, full);
@@ -220,6 +230,9 @@
         private final List<Runnable> ends = new ArrayList<>(1);
         private final List<Future<?>> timers = new ArrayList<>(1);
         private int open;
+        /** How many calls could not be made here, one after the other, and since when. */
+        private int localFailures;
+        private long localSinceNs;
         /** How many calls beside the first have failed and were made again. */
         private int replaced;
         private boolean ended;
@@ -232,7 +245,7 @@
                 call(0);
             }));
             // Guards against a discovery that is cut off and says nothing, or whose answer never ends: TCP alone would never tell.
-            later(patience.giveUpMs(), () -> fail("no answer in time"));
+            later(patience.giveUpMs(), () -> fail(CallFailure.UNREACHABLE, "no answer in time"));
             call(waitMs);
         }
 
@@ -245,34 +258,49 @@
             ListVersion asked = version;
             boolean changes = watching && asked.held();
             String uri = changes ? PATH + "?from=" + asked.number() + "&hold_ms=" + waitMs : PATH;
-            ends.add(requests.make(address, uri, clock.connectMs(), new ListRequest.Hearer() {
+            ends.add(requests.make(address, uri, clock.connectMs(), new ListRequest.Callback() {
                 @Override
-                public void brought(JsonNode list) {
+                public void received(JsonNode list) {
                     if (!changes && !list.path("full").asBoolean()) {
-                        failed("the answer is no whole list");
+                        failed(CallFailure.REJECTED, "the answer is no whole list");
                     } else if (!ended) {
                         end();
                         answered(LongPoll.this, asked, list, TimeUnit.NANOSECONDS.toMillis(loop.ticker().nanoTime() - beganNs));
                     }
                 }
 
-                /** All is lost only if no other call is open; but the first, if it is overdue, is likely silent, and no help. */
                 @Override
-                public void failed(String trouble) {
-                    if (--open == 0) {
-                        fail(trouble);
-                    } else if (beside) {
-                        later(clock.replaceMs(replaced++, random.nextDouble()), () -> call(0));
-                    }
+                public void failed(CallFailure failure, String reason) {
+                    callFailed(failure, reason, beside, waitMs);
                 }
             }));
         }
 
-        private void fail(String trouble) {
+        /** All is lost only if no other call is open; but the first, if it is overdue, is likely silent, and no help. */
+        private void callFailed(CallFailure failure, String reason, boolean beside, long waitMs) {
+            open--;
+            long localRetryMs = failure == CallFailure.LOCAL ? localRetryMs() : RecallRule.BACK_OFF;
+            if (localRetryMs != RecallRule.BACK_OFF) {
+                log.warn("call_not_made", "reason", reason, "again_in_ms", localRetryMs);
+                later(localRetryMs, () -> call(waitMs));
+            } else if (open == 0) {
+                fail(failure, reason);
+            } else if (beside) {
+                later(clock.replaceMs(replaced++, random.nextDouble()), () -> call(0));
+            }
+        }
+
+        private long localRetryMs() {
+            long now = loop.ticker().nanoTime();
+            localSinceNs = localFailures == 0 ? now : localSinceNs;
+            return RecallRule.localRetryMs(localFailures++, TimeUnit.NANOSECONDS.toMillis(now - localSinceNs));
+        }
+
+        private void fail(CallFailure failure, String reason) {
             if (!ended) {
                 end();
-                log.warn("call_failed", "reason", trouble);
-                Discovery.this.failed(this);
+                log.warn("call_failed", "kind", failure, "reason", reason, "version", version.number());
+                Discovery.this.failed(this, failure);
             }
         }
 
--- a/proxy/src/main/java/walkpost/proxy/ListRequest.java
+++ b/proxy/src/main/java/walkpost/proxy/ListRequest.java
@@ -4,13 +4,14 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufInputStream;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -29,17 +30,18 @@
  * {@link #MAX_ANSWER}, and has no clock but for its connection: who made it ends it in time, however slowly its answer comes.
  */
 final class ListRequest extends SimpleChannelInboundHandler<FullHttpResponse> {
-    /** Hears once how it ended, and nothing after {@link #end}. */
-    interface Hearer {
+    /** Hears once how a request ended, and nothing after {@link #end}. */
+    interface Callback {
         /** A sound list has come, of which only the entries are still to be looked at. */
-        void brought(JsonNode list);
+        void received(JsonNode list);
 
-        void failed(String trouble);
+        /** There will be no list; {@code reason} is for the log. */
+        void failed(CallFailure failure, String reason);
     }
 
     /** Makes requests; each is ended by what is returned. */
     interface Maker {
-        Runnable make(InetSocketAddress address, String uri, int connectMs, Hearer hearer);
+        Runnable make(InetSocketAddress address, String uri, int connectMs, Callback callback);
     }
 
     /** In bytes; one that grows past this has failed, and what has come of it is given back. */
@@ -47,31 +49,41 @@
 
     private final InetSocketAddress address;
     private final String uri;
-    private final Hearer hearer;
+    private final Callback callback;
     private final Channel channel;
+    private boolean answerBegun;
     private boolean ended;
 
-    ListRequest(EventLoop loop, InetSocketAddress address, String uri, int connectMs, Hearer hearer) {
+    ListRequest(EventLoop loop, ChannelFactory<Channel> transport, InetSocketAddress address, String uri, int connectMs, Callback callback) {
         this.address = address;
         this.uri = uri;
-        this.hearer = hearer;
-        ChannelFuture connect = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        this.callback = callback;
+        ChannelFuture connect = new Bootstrap().group(loop).channelFactory(transport)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMs)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
-                        ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_ANSWER), ListRequest.this);
+                        ch.pipeline().addLast(new AnswerStart(), new HttpClientCodec(), new HttpObjectAggregator(MAX_ANSWER), ListRequest.this);
                     }
                 }).connect(address);
         channel = connect.channel();
         connect.addListener(f -> {
             if (!f.isSuccess()) {
                 // Without a descriptor the news come at once, from another thread.
-                loop.execute(() -> fail("no connection"));
+                loop.execute(() -> fail(CallFailure.ofConnect(f.cause()), "no connection: " + f.cause().getMessage()));
             }
         });
     }
 
+    /** Notices the first bytes of an answer. */
+    private final class AnswerStart extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+            answerBegun = true;
+            super.channelRead(ctx, message);
+        }
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri);
@@ -83,43 +95,47 @@
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
         if (!response.status().equals(HttpResponseStatus.OK) || response.decoderResult().isFailure()) {
-            fail("answer " + response.status());
+            fail(response.decoderResult().isFailure() ? CallFailure.BROKEN_ANSWER : CallFailure.REJECTED, "answer " + response.status());
             return;
         }
         try (InputStream body = new ByteBufInputStream(response.content())) {
             JsonNode list = Config.JSON.readTree(body);
             if (list.path("version").canConvertToLong() && list.path("version").asLong() >= 0 && list.path("full").isBoolean()
                     && list.path("servers").isArray()) {
-                bring(list);
+                receive(list);
             } else {
-                fail("the answer is no list");
+                fail(CallFailure.REJECTED, "the answer is no list");
             }
         } catch (IOException e) {
-            fail("the answer is not JSON");
+            fail(CallFailure.BROKEN_ANSWER, "the answer is not JSON");
         }
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-        fail("the connection broke");
+        broke("the connection broke");
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        fail(cause.toString());
+        broke(cause.toString());
+    }
+
+    private void broke(String reason) {
+        fail(answerBegun ? CallFailure.BROKEN_ANSWER : CallFailure.ENDED_UNANSWERED, reason);
     }
 
-    private void bring(JsonNode list) {
+    private void receive(JsonNode list) {
         if (!ended) {
             end();
-            hearer.brought(list);
+            callback.received(list);
         }
     }
 
-    private void fail(String trouble) {
+    private void fail(CallFailure failure, String reason) {
         if (!ended) {
             end();
-            hearer.failed(trouble);
+            callback.failed(failure, reason);
         }
     }
 
--- /dev/null
+++ b/proxy/src/main/java/walkpost/proxy/RecallRule.java
@@ -0,0 +1,65 @@
+package walkpost.proxy;
+
+/**
+ * When to call discovery again after a call that failed, ahead of the module's back-off ({@link walkpost.BackOff}). Pure; times are in
+ * milliseconds. What was written to this proxy counts as told, and a list that tells of a drain is to be obeyed 300 ms later; so a call
+ * whose answer may have been lost is made again soon, once. All else waits for the back-off, as discovery may have too many callers.
+ * <pre>
+ * the call failed as                      called again                                   seen by discovery
+ * LOCAL (no descriptor, memory, route)    after 5, 10, 20, 40, 40 ... ms, for 1 s        nothing
+ * BROKEN_ANSWER                           once, after 0 to 20 ms; then back-off          one call more for each list sent
+ * ENDED_UNANSWERED (reset, closed)        once, after 20 to 120 ms; then back-off        one call more for each proxy
+ * UNREACHABLE (refused, silent)           back-off                                       -
+ * REJECTED (503, no list)                 back-off                                       -
+ * </pre>
+ * "Once" counts from the last sound answer: where hundreds of proxies lose a discovery that dies, each calls it once more, spread over
+ * 100 ms, and from then on at the pace of the back-off.
+ */
+final class RecallRule {
+    /** There is no call ahead of the back-off. */
+    static final long BACK_OFF = -1;
+    private static final long FIRST_LOCAL_MS = 5;
+    private static final int MOST_LOCAL_DOUBLINGS = 3;
+    private static final long LOCAL_MS = 1_000;
+    private static final long BROKEN_SPREAD_MS = 20;
+    private static final long ENDED_MS = 20;
+    private static final long ENDED_SPREAD_MS = 100;
+
+    private boolean recalled;
+
+    /** A sound answer has come: discovery serves. */
+    void answered() {
+        recalled = false;
+    }
+
+    /**
+     * Returns after how long a call that could not be made is tried again, or {@link #BACK_OFF}.
+     *
+     * @param before how many tries of it have failed before this one
+     * @param sinceMs how long ago the first try was made
+     */
+    static long localRetryMs(int before, long sinceMs) {
+        return sinceMs >= LOCAL_MS ? BACK_OFF : FIRST_LOCAL_MS << Math.min(before, MOST_LOCAL_DOUBLINGS);
+    }
+
+    /**
+     * Returns after how long the watch is opened again, all calls of which have failed, or {@link #BACK_OFF}.
+     *
+     * @param draw from 0 to 1, this proxy's own
+     */
+    long recallMs(CallFailure failure, double draw) {
+        if (recalled) {
+            return BACK_OFF;
+        }
+        return switch (failure) {
+            case BROKEN_ANSWER -> once((long) (BROKEN_SPREAD_MS * draw));
+            case ENDED_UNANSWERED -> once(ENDED_MS + (long) (ENDED_SPREAD_MS * draw));
+            case LOCAL, UNREACHABLE, REJECTED -> BACK_OFF;
+        };
+    }
+
+    private long once(long afterMs) {
+        recalled = true;
+        return afterMs;
+    }
+}
--- a/proxy/src/main/java/walkpost/proxy/Serve.java
+++ b/proxy/src/main/java/walkpost/proxy/Serve.java
@@ -80,9 +80,9 @@
         int descriptors = config.sockets() - (surroundings.fleet() == null ? 0 : FleetLink.MOST_DESCRIPTORS);
         var sockets = shared() ? Sockets.halfOf(descriptors) : new Sockets(descriptors);
         var buffers = new Buffers(config.memory() / (shared() ? 2 * BUFFERS_PART : BUFFERS_PART));
-        backends = new Backends(clock, loop, NioSocketChannel.class, sockets, buffers, config.connIdleUs(), config.connectTimeoutUs());
+        backends = new Backends(clock, loop, NioSocketChannel::new, sockets, buffers, config.connIdleUs(), config.connectTimeoutUs());
         proxy = new Proxy(clock, loop, module, backends);
-        discovery = new Discovery(loop, proxy, config.discovery(), settings);
+        discovery = new Discovery(loop, NioSocketChannel::new, proxy, config.discovery(), settings);
         proxy.discovery(discovery);
         frontend = new Frontend(proxy, sockets, buffers, settings, this::available);
         takenOut = new TakenOut(proxy);
--- a/proxy/src/main/java/walkpost/proxy/Warmup.java
+++ b/proxy/src/main/java/walkpost/proxy/Warmup.java
@@ -162,7 +162,7 @@
         var sockets = new Sockets(DESCRIPTORS);
         var buffers = new Buffers(Long.MAX_VALUE);
         var unlisted = unlisted();
-        var backends = new Backends(clock, loop, NioDomainSocketChannel.class, sockets, buffers,
+        var backends = new Backends(clock, loop, NioDomainSocketChannel::new, sockets, buffers,
                 TimeUnit.MILLISECONDS.toMicros(MOST_MS), TimeUnit.MILLISECONDS.toMicros(MOST_MS));
         var proxy = new Proxy(clock, loop, new Policy(unlisted), backends);
         var frontend = new Frontend(proxy, sockets, buffers, unlisted, () -> backends.ready() > 0);
--- a/proxy/src/test/java/walkpost/proxy/AttemptsTest.java
+++ b/proxy/src/test/java/walkpost/proxy/AttemptsTest.java
@@ -52,7 +52,7 @@
     @BeforeEach
     void begin() throws Exception {
         peer = new Peer();
-        backends = new Backends(clock, loop, NioSocketChannel.class, new Sockets(1_024), new Buffers(1 << 20), 15_000_000,
+        backends = new Backends(clock, loop, NioSocketChannel::new, new Sockets(1_024), new Buffers(1 << 20), 15_000_000,
                 1_000_000);
         loop.submit(() -> list(State.READY)).get();
     }
--- a/proxy/src/test/java/walkpost/proxy/DiscoverySlope.java
+++ b/proxy/src/test/java/walkpost/proxy/DiscoverySlope.java
@@ -20,17 +20,17 @@
             + "\"state\":\"%s\",\"weight\":1.0,\"started_ms\":1796000000000}";
 
     private final EmbeddedChannel channel = new EmbeddedChannel();
-    private final Backends backends = new Backends(new Clock(), channel.eventLoop(), EmbeddedChannel.class, new Sockets(1_024),
+    private final Backends backends = new Backends(new Clock(), channel.eventLoop(), EmbeddedChannel::new, new Sockets(1_024),
             new Buffers(Long.MAX_VALUE), 15_000_000, 200_000);
-    private ListRequest.Hearer hearer;
+    private ListRequest.Callback callback;
 
     private DiscoverySlope() throws Config.BadConfig, IOException {
         channel.freezeTime();
         Config config = Config.parse(Config.JSON.readTree(config(1)));
         var proxy = new Proxy(new Clock(), channel.eventLoop(), new Policy(config.settings()), backends);
         var discovery = new Discovery(channel.eventLoop(), proxy, new InetSocketAddress("127.0.0.1", 9), config.settings(),
-                (to, uri, connectMs, hears) -> {
-                    hearer = hears;
+                (to, uri, connectMs, called) -> {
+                    callback = called;
                     return () -> { };
                 });
         discovery.known(null);
@@ -73,7 +73,7 @@
         long before = used();
         long directs = direct().getCount();
         long from = cpuNs();
-        held[0].hearer.brought(list);
+        held[0].callback.received(list);
         double firstMs = (cpuNs() - from) / 1e6;
         long heap = used() - before;
         directs = direct().getCount() - directs;
@@ -89,7 +89,7 @@
         byte[] changes = changes(replaced);
         double changesParseMs = medianMs(() -> Config.JSON.readTree(changes));
         from = cpuNs();
-        held[0].hearer.brought(Config.JSON.readTree(changes));
+        held[0].callback.received(Config.JSON.readTree(changes));
         System.out.printf("servers %5d  replaced %4d  changes %.4f MB  parse %.2f ms  parsed and taken in %.2f ms  ready %d%n", servers,
                 replaced, changes.length / 1e6, changesParseMs, (cpuNs() - from) / 1e6, held[0].backends.ready());
     }
--- a/proxy/src/test/java/walkpost/proxy/ListTermsTest.java
+++ b/proxy/src/test/java/walkpost/proxy/ListTermsTest.java
@@ -23,7 +23,7 @@
  */
 class ListTermsTest {
     /** How a call fares while discovery cannot be reached. */
-    private enum Trouble { REFUSED, NO_CONNECTION, SILENT, BUSY, BROKEN_OFF, MIXED, SILENT_ONCE_MORE, TURNED_AWAY_BESIDE }
+    private enum Trouble { REFUSED, NO_CONNECTION, SILENT, BUSY, BROKEN_OFF, RESET, NO_DESCRIPTOR, MIXED, SILENT_ONCE_MORE, TURNED_AWAY_BESIDE }
 
     private static final long STEP_MS = 10;
     private static final long ANSWER_MS = 1_500;
@@ -76,7 +76,7 @@
                 ((ObjectNode) json.path("settings").path("invariants")).put("must_ask_in_us", withinMs * 1_000);
                 Config config = Config.parse(json);
                 var clock = new Clock();
-                var backends = new Backends(clock, channel.eventLoop(), EmbeddedChannel.class, new Sockets(256),
+                var backends = new Backends(clock, channel.eventLoop(), EmbeddedChannel::new, new Sockets(256),
                         new Buffers(Long.MAX_VALUE), 1, 1);
                 var proxy = new Proxy(clock, channel.eventLoop(), (now, event, actions) -> {
                     if (event instanceof Members m) {
@@ -103,8 +103,8 @@
             }
         }
 
-        private Runnable call(InetSocketAddress to, String uri, int connectMs, ListRequest.Hearer hearer) {
-            var call = new Call(hearer);
+        private Runnable call(InetSocketAddress to, String uri, int connectMs, ListRequest.Callback callback) {
+            var call = new Call(callback);
             open.add(call);
             madeMs.add(nowMs);
             mostOpen = Math.max(mostOpen, open.size());
@@ -112,19 +112,25 @@
                 String hold = uri.substring(uri.indexOf("hold_ms=") + 8);
                 call.later(Long.parseLong(hold) + 20, () -> call.answer(41));
             } else if (nowMs < backMs) {
-                Trouble now = trouble == Trouble.MIXED ? Trouble.values()[random.nextInt(5)] : trouble;
+                Trouble now = trouble == Trouble.MIXED ? Trouble.values()[random.nextInt(7)] : trouble;
                 switch (now) {
-                    case REFUSED -> call.later(1, call::fail);
-                    case NO_CONNECTION -> call.later(connectMs, call::fail);
-                    case BUSY -> call.later(random.nextBoolean() ? 1 : 2_000, call::fail);
-                    case BROKEN_OFF -> call.later(random.nextInt(2_000), call::fail);
+                    case REFUSED -> call.later(1, () -> call.fail(CallFailure.UNREACHABLE));
+                    case NO_CONNECTION -> call.later(connectMs, () -> call.fail(CallFailure.UNREACHABLE));
+                    case BUSY -> call.later(random.nextBoolean() ? 1 : 2_000, () -> call.fail(CallFailure.REJECTED));
+                    case BROKEN_OFF -> call.later(random.nextInt(2_000), () -> call.fail(CallFailure.BROKEN_ANSWER));
+                    case RESET -> call.later(random.nextInt(2_000), () -> call.fail(CallFailure.ENDED_UNANSWERED));
+                    case NO_DESCRIPTOR -> {
+                        // Discovery sees nothing of it.
+                        madeMs.remove(madeMs.size() - 1);
+                        call.later(1, () -> call.fail(CallFailure.LOCAL));
+                    }
                     default -> { }
                 }
             } else if (trouble == Trouble.SILENT_ONCE_MORE && silentMs < 0) {
                 silentMs = nowMs;
             } else if (trouble == Trouble.TURNED_AWAY_BESIDE) {
                 turnedAway++;
-                call.later(turnedAway > 2 ? ANSWER_THEN_MS : 1, turnedAway > 2 ? () -> call.answer(42) : call::fail);
+                call.later(turnedAway > 2 ? ANSWER_THEN_MS : 1, turnedAway > 2 ? () -> call.answer(42) : () -> call.fail(CallFailure.REJECTED));
             } else {
                 call.later(ANSWER_MS, () -> call.answer(42));
             }
@@ -132,10 +138,10 @@
         }
 
         private final class Call {
-            private final ListRequest.Hearer hearer;
+            private final ListRequest.Callback callback;
 
-            Call(ListRequest.Hearer hearer) {
-                this.hearer = hearer;
+            Call(ListRequest.Callback callback) {
+                this.callback = callback;
             }
 
             void later(long afterMs, Runnable what) {
@@ -146,9 +152,9 @@
                 }, afterMs, TimeUnit.MILLISECONDS);
             }
 
-            void fail() {
+            void fail(CallFailure failure) {
                 open.remove(this);
-                hearer.failed("played");
+                callback.failed(failure, "played");
             }
 
             /** One that was to be answered while discovery could not be reached says nothing, then and later. */
@@ -159,7 +165,7 @@
                 open.remove(this);
                 learnedMs = version == 42 && learnedMs < 0 ? nowMs : learnedMs;
                 try {
-                    hearer.brought(Config.JSON.readTree(Fixture.list(version, false)));
+                    callback.received(Config.JSON.readTree(Fixture.list(version, false)));
                 } catch (IOException e) {
                     throw new UncheckedIOException(e);
                 }
@@ -181,7 +187,7 @@
             for (; learnedMs < 0 && nowMs < 120_000; nowMs += STEP_MS) {
                 if (nowMs == cutMs && trouble == Trouble.REFUSED) {
                     // Discovery has died, and its connections are reset.
-                    List.copyOf(open).forEach(Call::fail);
+                    List.copyOf(open).forEach(call -> call.fail(CallFailure.ENDED_UNANSWERED));
                 }
                 channel.runPendingTasks();
                 channel.advanceTimeBy(STEP_MS, TimeUnit.MILLISECONDS);
