Go on accepting clients after an accept that failed, and close a listener all the same

Seen by callers: while accept fails for a moment, nobody new is taken in for 1 s; when the listener closes in that moment after SIGTERM, it stays open, and whoever connects is never answered. Cause: Netty's acceptor stops reading for a second after any failure (AcceptFailureTest: its listener accepts later than a task set for 900 ms); ClientsSocket emptied its queue before closing, and an exception there left the socket open. SystemCallFailures counts by call and error and logs each kind once a second at most; the operators' listener and the inherited one use it too.

--- a/proxy/src/main/java/walkpost/proxy/Backlog.java
+++ b/proxy/src/main/java/walkpost/proxy/Backlog.java
@@ -40,6 +40,12 @@
         where.close();
     }
 
+    /** An accept has failed: whoever is accepted next may have waited. */
+    void acceptFailed() {
+        acceptedAt = beat.now();
+        waitingFrom = Math.min(waitingFrom, acceptedAt);
+    }
+
     /** A client has been accepted; returns whether it may have waited. */
     boolean accepted() {
         accepted++;
--- a/proxy/src/main/java/walkpost/proxy/Frontend.java
+++ b/proxy/src/main/java/walkpost/proxy/Frontend.java
@@ -75,15 +75,12 @@
                 .option(ChannelOption.RECVBUF_ALLOCATOR, new ServerChannelRecvByteBufAllocator())
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childHandler(new Admission()).bind(address);
-        listenAt(new Listener() {
-            @Override
-            public void accept(boolean on) {
-                bound.channel().config().setAutoRead(on);
+        bound.addListener(done -> {
+            if (done.isSuccess()) {
+                listenAt(bound.channel());
             }
-
-            @Override
-            public void close() {
-                bound.channel().close();
+            if (done.isSuccess() && ended) {
+                listener.close();
             }
         });
         return bound;
@@ -92,10 +89,11 @@
     /**
      * Takes clients in over a socket that other processes hold as well.
      *
+     * @param failures counts the system calls that fail
      * @param ended is run once it was closed and all that had come by then are known here
      */
-    void listen(EventLoop loop, ServerSocketChannel inherited, Runnable ended) {
-        var where = new InheritedListener(inherited, loop, client -> {
+    void listen(EventLoop loop, ServerSocketChannel inherited, SystemCallFailures failures, Runnable ended) {
+        var where = new InheritedListener(inherited, loop, failures, client -> {
             var channel = new NioSocketChannel(null, client);
             channel.pipeline().addLast(new Admission());
             loop.register(channel);
@@ -104,6 +102,28 @@
         where.start();
     }
 
+    private void listenAt(Channel channel) {
+        var retrying = channel instanceof RetryingServerSocketChannel r ? r : null;
+        listenAt(new Listener() {
+            @Override
+            public void accept(boolean on) {
+                if (retrying != null) {
+                    retrying.accepting(on);
+                } else {
+                    channel.config().setAutoRead(on);
+                }
+            }
+
+            @Override
+            public void close() {
+                channel.close();
+            }
+        });
+        if (retrying != null) {
+            retrying.onAcceptFailure(listener::acceptFailed);
+        }
+    }
+
     private void listenAt(Listener where) {
         proxy.beat().start();
         listener = new Backlog(proxy.beat(), where);
--- a/proxy/src/main/java/walkpost/proxy/InheritedListener.java
+++ b/proxy/src/main/java/walkpost/proxy/InheritedListener.java
@@ -26,6 +26,7 @@
 
     private final ServerSocketChannel socket;
     private final EventLoop loop;
+    private final SystemCallFailures failures;
     private final Log log = new Log("listener");
     private final Consumer<SocketChannel> admit;
     private final Runnable ended;
@@ -35,10 +36,12 @@
     /**
      * Makes one that takes nobody in yet.
      *
+     * @param failures counts the accepts that fail
      * @param admit gets each connection, on the loop
      * @param ended is run on the loop after it was closed, once all that was accepted by then has been admitted
      */
-    InheritedListener(ServerSocketChannel socket, EventLoop loop, Consumer<SocketChannel> admit, Runnable ended) {
+    InheritedListener(ServerSocketChannel socket, EventLoop loop, SystemCallFailures failures, Consumer<SocketChannel> admit, Runnable ended) {
+        this.failures = failures;
         this.socket = socket;
         this.loop = loop;
         this.admit = admit;
@@ -92,7 +95,7 @@
             // Nobody else is wanted.
         } catch (IOException e) {
             ahead.release();
-            loop.execute(() -> log.failure("client_not_accepted", e));
+            failures.failed("accept", e);
             TimeUnit.MILLISECONDS.sleep(AFTER_FAILURE_MS);
         }
     }
--- a/proxy/src/main/java/walkpost/proxy/OperatorDoor.java
+++ b/proxy/src/main/java/walkpost/proxy/OperatorDoor.java
@@ -12,7 +12,6 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.DuplexChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.LineBasedFrameDecoder;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.util.concurrent.Future;
@@ -122,8 +121,8 @@
         return CompletableFuture.completedFuture(answer);
     }
 
-    ChannelFuture listen(EventLoop loop, SocketAddress address) {
-        return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+    ChannelFuture listen(EventLoop loop, SocketAddress address, SystemCallFailures failures) {
+        return new ServerBootstrap().group(loop).channelFactory(() -> new RetryingServerSocketChannel(failures))
                 // One that has ended its sending may still read what it is told.
                 .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .childHandler(new ChannelInitializer<Channel>() {
--- a/proxy/src/main/java/walkpost/proxy/Serve.java
+++ b/proxy/src/main/java/walkpost/proxy/Serve.java
@@ -47,6 +47,7 @@
     private final Surroundings surroundings;
     private final Log log = new Log("serve");
     private final Clock clock;
+    private final SystemCallFailures failures = new SystemCallFailures();
     private final EventLoop loop;
     private final Proxy proxy;
     private final Discovery discovery;
@@ -165,7 +166,7 @@
         }
         loop.execute(exclusions::start);
         var door = new OperatorDoor(frontend::ready, exclusions, fleet);
-        return bound("operator", () -> door.listen(loop, surroundings.operator()));
+        return bound("operator", () -> door.listen(loop, surroundings.operator(), failures));
     }
 
     private FleetSide.Condition condition() {
@@ -191,7 +192,7 @@
         }
         // Told to end before it could begin, it takes nobody in.
         InetSocketAddress address = bound("listen",
-                () -> frontend.ended() ? null : frontend.listen(loop, ClientsSocket::new, config.listen()));
+                () -> frontend.ended() ? null : frontend.listen(loop, () -> new ClientsSocket(failures), config.listen()));
         if (address == null) {
             return null;
         }
@@ -203,7 +204,7 @@
         if (draining) {
             drained.countDown();
         } else if (available() || clock.now() >= latest) {
-            frontend.listen(loop, surroundings.clients(), this::watchForTheLast);
+            frontend.listen(loop, surroundings.clients(), failures, this::watchForTheLast);
             log.info("listening", "proxy", config.name(), "socket", "inherited");
         } else {
             loop.schedule(() -> listenOnceReady(latest), LOOK_MS, TimeUnit.MILLISECONDS);
--- /dev/null
+++ b/proxy/src/test/java/walkpost/proxy/SystemCallFailuresTest.java
@@ -0,0 +1,39 @@
+package walkpost.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Test;
+
+/** The counters of failed calls, and what a burst of them writes to the log. */
+class SystemCallFailuresTest {
+    private final AtomicLong nanoTime = new AtomicLong();
+    private final List<String> reports = new ArrayList<>();
+    private final SystemCallFailures failures = new SystemCallFailures(nanoTime::get,
+            (call, error, total, sinceLast) -> reports.add(call + " " + total + " " + sinceLast));
+
+    @Test
+    void aBurstIsCountedWholeAndLoggedOnceASecond() {
+        var cause = new IOException("No buffer space available");
+        for (int i = 0; i < 10_000; i++) {
+            failures.failed("write", cause);
+        }
+        nanoTime.addAndGet(SystemCallFailures.LOG_EVERY_NS);
+        failures.failed("write", cause);
+        assertThat(failures.totals()).containsExactly(Map.entry("write: No buffer space available", 10_001L));
+        assertThat(reports).containsExactly("write 1 1", "write 10001 10000");
+    }
+
+    @Test
+    void messagesThatDifferEachTimeDoNotGrowTheCountersForEver() {
+        for (int i = 0; i < 1_000; i++) {
+            failures.failed("connect", new IOException("No route to 10.0.0." + i));
+        }
+        assertThat(failures.totals()).hasSizeLessThan(70).containsKey("connect: other");
+        assertThat(failures.totals().values().stream().mapToLong(Long::longValue).sum()).isEqualTo(1_000);
+    }
+}
--- a/proxy/src/test/java/walkpost/proxy/UpgradeTest.java
+++ b/proxy/src/test/java/walkpost/proxy/UpgradeTest.java
@@ -92,7 +92,7 @@
         var admitted = new CountDownLatch(InheritedListener.AHEAD);
         var ended = new CountDownLatch(1);
         try (var socket = listening()) {
-            var listener = new InheritedListener(socket, loop, client -> admitted.countDown(), ended::countDown);
+            var listener = new InheritedListener(socket, loop, new SystemCallFailures(), client -> admitted.countDown(), ended::countDown);
             loop.execute(() -> {
                 try {
                     goOn.await();
