Read and write again on a connection after a failure that may pass

Cause: any IOException of a read or a write closed the connection. Linux reports a pending error once (EHOSTUNREACH, ETIMEDOUT, ENOBUFS, ENOMEM), and the call after it shows whether the connection lives. An interrupted read came out of the JDK's channel as -3, which Netty took for the end of the stream. Change: RetryingSocketChannel makes the call again, for 100 ms at most, as a deadline passed on has 150 ms of slack; resets, broken pipes and unconnected sockets stay final (MomentaryFailure). An end that follows a failure is reported as that failure, or a cut answer of unknown length would be taken for whole.

--- a/proxy/src/main/java/walkpost/proxy/Frontend.java
+++ b/proxy/src/main/java/walkpost/proxy/Frontend.java
@@ -12,7 +12,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.ServerChannel;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -94,7 +93,7 @@
      */
     void listen(EventLoop loop, ServerSocketChannel inherited, SystemCallFailures failures, Runnable ended) {
         var where = new InheritedListener(inherited, loop, failures, client -> {
-            var channel = new NioSocketChannel(null, client);
+            var channel = new RetryingSocketChannel(null, client, failures);
             channel.pipeline().addLast(new Admission());
             loop.register(channel);
         }, ended);
--- a/proxy/src/main/java/walkpost/proxy/RetryingServerSocketChannel.java
+++ b/proxy/src/main/java/walkpost/proxy/RetryingServerSocketChannel.java
@@ -1,7 +1,6 @@
 package walkpost.proxy;
 
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.nio.channels.ClosedChannelException;
 import java.nio.channels.SocketChannel;
@@ -59,9 +58,9 @@
         return javaChannel().accept();
     }
 
-    private NioSocketChannel connection(SocketChannel accepted) throws IOException {
+    private RetryingSocketChannel connection(SocketChannel accepted) throws IOException {
         try {
-            return new NioSocketChannel(this, accepted);
+            return new RetryingSocketChannel(this, accepted, failures);
         } catch (RuntimeException e) {
             accepted.close();
             throw new IOException("a connection could not be set up", e);
--- a/proxy/src/test/java/walkpost/proxy/SystemCallFaultsTest.java
+++ b/proxy/src/test/java/walkpost/proxy/SystemCallFaultsTest.java
@@ -1,10 +1,14 @@
 package walkpost.proxy;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.concurrent.BlockingQueue;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -13,6 +17,9 @@
 /** A real process whose system calls fail for a moment: nobody who waits is forgotten, and nothing that was told is lost. */
 @Timeout(60)
 class SystemCallFaultsTest {
+    /** More than is gathered before it is passed on, in bytes. */
+    private static final int LONG_ANSWER = 200_000;
+
     @TempDir
     private Path dir;
     private final Peer discovery;
@@ -31,6 +38,16 @@
         return new Program(dir, config, faults.environment());
     }
 
+    private static Wire client(Program program) throws IOException {
+        String line = program.line("listening");
+        int port = Integer.parseInt(line.replaceAll(".*port=(\\d+).*", "$1"));
+        return Wire.to(new InetSocketAddress("127.0.0.1", port));
+    }
+
+    private String draining() {
+        return Peer.ok(Fixture.list(42, true, Fixture.entry("s0", backend.address(), "draining")));
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"EMFILE", "ENOBUFS"})
     void theCallAfterAnAnswerIsMadeThoughItsSocketCouldNotBeHad(String error) throws Exception {
@@ -46,4 +63,81 @@
             assertThat(program.linesUpTo("no such line")).noneMatch(line -> line.contains("asked_again"));
         }
     }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"EHOSTUNREACH", "ETIMEDOUT", "EINTR", "SHORT"})
+    void anAnswerOfDiscoveryIsTakenThoughItsReadFailedForAMoment(String error) throws Exception {
+        var faults = new SystemCallFaults(dir, "read=" + error + ";most=1");
+        try (Program program = program(faults)) {
+            Wire call = discovery.accept();
+            call.read();
+            faults.begin();
+            call.send(draining());
+            assertThat(discovery.accept().read().first()).contains("from=42&");
+            assertThat(faults.seen()).hasSize(1);
+            assertThat(program.ended()).isFalse();
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"EHOSTUNREACH", "EINTR"})
+    void aRequestIsAnsweredThoughAReadFromItsClientFailedForAMoment(String error) throws Exception {
+        var faults = new SystemCallFaults(dir, "read=" + error + ";most=1");
+        backend.always(Peer.ok("served"));
+        try (Program program = program(faults); Wire client = client(program)) {
+            String request = Fixture.get("r1");
+            client.send(request.substring(0, 20));
+            faults.begin();
+            client.send(request.substring(20));
+            assertThat(client.read().body()).isEqualTo("served");
+            assertThat(faults.seen()).hasSize(1);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"ENOBUFS", "SHORT"})
+    void aRequestIsAnsweredThoughWritesFailedForAMoment(String error) throws Exception {
+        var faults = new SystemCallFaults(dir, "write=" + error + ";most=2");
+        BlockingQueue<Wire.Message> attempts = backend.always(Peer.ok("served"));
+        try (Program program = program(faults); Wire client = client(program)) {
+            faults.begin();
+            client.send(Fixture.post("r1", "a body"));
+            assertThat(client.read().body()).isEqualTo("served");
+            assertThat(attempts).extracting(Wire.Message::body).containsExactly("a body");
+            assertThat(faults.seen()).hasSize(2);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"ENOBUFS", "EHOSTUNREACH"})
+    void anAnswerReachesItsClientThoughItsWriteFailedForAMoment(String error) throws Exception {
+        var faults = new SystemCallFaults(dir, "write=" + error + ";most=1");
+        try (Program program = program(faults); Wire client = client(program)) {
+            client.send(Fixture.get("r1"));
+            Wire attempt = backend.accept();
+            attempt.read();
+            faults.begin();
+            attempt.send(Peer.ok("served"));
+            assertThat(client.read().body()).isEqualTo("served");
+            assertThat(faults.seen()).hasSize(1);
+        }
+    }
+
+    @Test
+    void aBrokenAnswerOfUnknownLengthIsNotTakenForAWholeOne() throws Exception {
+        var faults = new SystemCallFaults(dir, "read=ETIMEDOUT;most=1");
+        try (Program program = program(faults); Wire client = client(program)) {
+            client.send(Fixture.get("r1"));
+            Wire attempt = backend.accept();
+            attempt.read();
+            attempt.send("HTTP/1.1 200 OK\r\n\r\n" + "x".repeat(LONG_ANSWER));
+            assertThat(client.readHead().header("Transfer-Encoding")).isEqualTo("chunked");
+            client.skip(LONG_ANSWER);
+            faults.begin();
+            attempt.close();
+            faults.await(1);
+            assertThatThrownBy(client::rest).isInstanceOf(IOException.class);
+            assertThat(program.ended()).isFalse();
+        }
+    }
 }
