Try a step of the start, and the reading of a configuration, again after a moment

Cause: the first failure of socket, bind, listen or of opening the file was taken for a wrong configuration.

--- a/proxy/src/main/java/walkpost/proxy/Config.java
+++ b/proxy/src/main/java/walkpost/proxy/Config.java
@@ -47,10 +47,15 @@
 
     static Config read(Path file) throws BadConfig {
         try {
-            return parse(JSON.readTree(Files.readAllBytes(file)));
+            return parse(JSON.readTree(new StartRetry().untilDone("configuration", () -> Files.readAllBytes(file))));
         } catch (JsonProcessingException e) {
             throw new BadConfig("not JSON: " + e.getOriginalMessage());
-        } catch (IOException e) {
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new BadConfig("reading it was interrupted");
+        } catch (BadConfig e) {
+            throw e;
+        } catch (Exception e) {
             throw new BadConfig("cannot be read: " + e);
         }
     }
--- a/proxy/src/main/java/walkpost/proxy/Serve.java
+++ b/proxy/src/main/java/walkpost/proxy/Serve.java
@@ -2,8 +2,10 @@
 
 import walkpost.Balancer;
 import walkpost.Policy;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
+import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
@@ -74,7 +76,7 @@
         if (shared()) {
             Log.keepErrorStream();
         }
-        loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        loop = newLoop(NioIoHandler.newFactory());
         var settings = config.settings();
         // A constant: to read it loads nothing.
         int descriptors = config.sockets() - (surroundings.fleet() == null ? 0 : FleetLink.MOST_DESCRIPTORS);
@@ -89,6 +91,16 @@
         exclusions = new Exclusions(loop, takenOut, surroundings.temp().resolve(EXCLUDED), "operators");
     }
 
+    private static EventLoop newLoop(IoHandlerFactory wakeup) {
+        try {
+            return new StartRetry().untilDone("event loop",  () -> new MultiThreadIoEventLoopGroup(1, wakeup).next());
+        } catch (RuntimeException e) {
+            throw e;
+        } catch (Exception e) {
+            throw new IllegalStateException("no event loop", e);
+        }
+    }
+
     /**
      * Serves until the process is told to end.
      *
@@ -223,17 +235,24 @@
     }
 
     private InetSocketAddress bound(String field, Callable<ChannelFuture> listen) throws Config.BadConfig {
-        ChannelFuture bound = loop.submit(listen).syncUninterruptibly().getNow();
-        if (bound == null) {
+        try {
+            Channel bound = new StartRetry().untilDone(field, () -> boundOnce(listen));
+            return bound == null ? null : (InetSocketAddress) bound.localAddress();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
             return null;
+        } catch (Exception e) {
+            throw new Config.BadConfig("'" + field + "': " + e.getMessage());
         }
-        if (!bound.awaitUninterruptibly().isSuccess()) {
-            if (draining) {
-                return null;
-            }
-            throw new Config.BadConfig("'" + field + "': " + bound.cause().getMessage());
+    }
+
+    /** Returns the channel that listens, or null where it is not to listen any more. */
+    private Channel boundOnce(Callable<ChannelFuture> listen) {
+        ChannelFuture bound = loop.submit(listen).syncUninterruptibly().getNow();
+        if (bound == null || !bound.awaitUninterruptibly().isSuccess() && draining) {
+            return null;
         }
-        return (InetSocketAddress) bound.channel().localAddress();
+        return bound.syncUninterruptibly().channel();
     }
 
     /**
--- a/proxy/src/test/java/walkpost/proxy/SystemCallFaultsTest.java
+++ b/proxy/src/test/java/walkpost/proxy/SystemCallFaultsTest.java
@@ -140,4 +140,41 @@
             assertThat(program.ended()).isFalse();
         }
     }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"socket=EMFILE", "bind=ENOMEM", "listen=ENOMEM"})
+    void aStartGoesOnThoughACallFailedForAMoment(String call) throws Exception {
+        var faults = new SystemCallFaults(dir, call + ";most=3");
+        faults.begin();
+        try (Program program = program(faults); Wire client = client(program)) {
+            client.send("GET /ready HTTP/1.1\r\n\r\n");
+            assertThat(client.read()).isNotNull();
+            assertThat(program.ended()).isFalse();
+            assertThat(faults.seen()).hasSize(3);
+        }
+    }
+
+    @Test
+    void aStartGoesOnThoughItsConfigurationCouldNotBeReadForAMoment() throws Exception {
+        var faults = new SystemCallFaults(dir, "open_read=EMFILE;path=config.json;most=2");
+        faults.begin();
+        try (Program program = program(faults)) {
+            assertThat(program.line("listening")).isNotNull();
+            assertThat(faults.seen()).hasSize(2);
+        }
+    }
+
+    @Test
+    void aNewConfigurationIsTakenThoughItsFileCouldNotBeReadForAMoment() throws Exception {
+        var faults = new SystemCallFaults(dir, "open_read=EIO;path=config.json;most=2");
+        try (var next = new Peer(); Program program = program(faults)) {
+            discovery.accept().read();
+            program.line("listening");
+            program.configure(Fixture.config().put("discovery", next.address()));
+            faults.begin();
+            program.signal("HUP");
+            assertThat(next.accept().read().first()).contains("/v1/endpoints");
+            assertThat(faults.seen()).hasSize(2);
+        }
+    }
 }
