Keep the loop alive and on time where waking it fails

SIGTERM ended the process with nothing drained, or all clients were silent for 1 s and more. Cause: waking a loop writes to and reads from a descriptor. Where the write fails the JDK throws an InternalError, which ended the thread that drains, and the loop itself if thrown there; where the read fails Netty rebuilds its selector and sleeps for a second. Evidence: SystemCallFaultsTest on the program unchanged: the process ended without a drain (EIO, ENOMEM); with the read failing the second request after SIGTERM was refused. The steps of a drain are set by the moment of its end, on the loop. Left: with an inherited socket a failed read still costs a second (docs/findings/open.md).

--- a/proxy/src/main/java/walkpost/proxy/Serve.java
+++ b/proxy/src/main/java/walkpost/proxy/Serve.java
@@ -5,7 +5,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
-import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
@@ -49,6 +48,7 @@
     private final Log log = new Log("serve");
     private final Clock clock;
     private final SystemCallFailures failures = new SystemCallFailures();
+    private final LoopWakeup wakeup = new LoopWakeup(NioIoHandler.newFactory(), failures);
     private final EventLoop loop;
     private final Proxy proxy;
     private final Discovery discovery;
@@ -76,7 +76,7 @@
         if (shared()) {
             Log.keepErrorStream();
         }
-        loop = newLoop(NioIoHandler.newFactory());
+        loop = newLoop(wakeup);
         var settings = config.settings();
         // A constant: to read it loads nothing.
         int descriptors = config.sockets() - (surroundings.fleet() == null ? 0 : FleetLink.MOST_DESCRIPTORS);
@@ -91,7 +91,7 @@
         exclusions = new Exclusions(loop, takenOut, surroundings.temp().resolve(EXCLUDED), "operators");
     }
 
-    private static EventLoop newLoop(IoHandlerFactory wakeup) {
+    private static EventLoop newLoop(LoopWakeup wakeup) {
         try {
             return new StartRetry().untilDone("event loop",  () -> new MultiThreadIoEventLoopGroup(1, wakeup).next());
         } catch (RuntimeException e) {
@@ -207,6 +207,8 @@
         if (address == null) {
             return null;
         }
+        // Nobody else hands the loop what can't wait for its next beat: clients over an inherited socket are accepted by another thread.
+        wakeup.byTimer();
         log.info("listening", "proxy", config.name(), "port", address.getPort());
         return address;
     }
@@ -296,28 +298,7 @@
         long longestMs = config.settings().classes().stream().mapToLong(c -> c.deadlineUs()).max().orElse(0) / 1_000;
         long endMs = Math.min(longestMs, MOST_DEADLINE_MS) + KILL_MS;
         long endAt = clock.now() + TimeUnit.MILLISECONDS.toMicros(endMs);
-        loop.execute(() -> {
-            draining = true;
-            log.info("draining", "proxy", config.name());
-            frontend.drain(endAt - TimeUnit.MILLISECONDS.toMicros(WRITING_MS));
-            if (shared()) {
-                // Whoever is not accepted yet is the next process's, and so is whoever has had an answer.
-                frontend.stopListening();
-                frontend.closeAfterAnswers();
-            }
-        });
-        if (!shared()) {
-            loop.schedule(() -> {
-                frontend.stopListening();
-                watchForTheLast();
-            }, FRONT_LAG_MS, TimeUnit.MILLISECONDS);
-        }
-        // A look at the sockets later: a listener that was closed in the same turn still takes newcomers in until then.
-        loop.schedule(() -> proxy.beat().afterLook(() -> {
-            frontend.closeAfterAnswers();
-            frontend.closeIdle();
-        }), Math.max(endMs - LAST_CALL_MS, FRONT_LAG_MS), TimeUnit.MILLISECONDS);
-        loop.schedule(frontend::answerNow, endMs - WRITING_MS / 2, TimeUnit.MILLISECONDS);
+        loop.execute(() -> beginDrain(endAt, endMs));
         try {
             boolean all = drained.await(endMs - GOODBYE_MS, TimeUnit.MILLISECONDS);
             leave();
@@ -328,6 +309,34 @@
         }
     }
 
+    private void beginDrain(long endAt, long endMs) {
+        draining = true;
+        log.info("draining", "proxy", config.name());
+        frontend.drain(endAt - TimeUnit.MILLISECONDS.toMicros(WRITING_MS));
+        if (shared()) {
+            // Whoever is not accepted yet is the next process's, and so is whoever has had an answer.
+            frontend.stopListening();
+            frontend.closeAfterAnswers();
+        } else {
+            beforeEnd(endAt, endMs - FRONT_LAG_MS, () -> {
+                frontend.stopListening();
+                watchForTheLast();
+            });
+        }
+        // A look at the sockets later: a listener that was closed in the same turn still takes newcomers in until then.
+        beforeEnd(endAt, Math.min(LAST_CALL_MS, endMs - FRONT_LAG_MS), () -> proxy.beat().afterLook(() -> {
+            frontend.closeAfterAnswers();
+            frontend.closeIdle();
+        }));
+        beforeEnd(endAt, WRITING_MS / 2, frontend::answerNow);
+    }
+
+    /** Has a task run on the loop so long before a moment on the clock. */
+    private void beforeEnd(long endAtUs, long beforeMs, Runnable task) {
+        long delayUs = endAtUs - TimeUnit.MILLISECONDS.toMicros(beforeMs) - clock.now();
+        loop.schedule(task, Math.max(0, delayUs), TimeUnit.MICROSECONDS);
+    }
+
     /** Says good-bye to the fleet, as late as can be: what it orders meanwhile holds for those who are still served here. */
     private void leave() throws InterruptedException {
         if (fleet != null) {
--- a/proxy/src/test/java/walkpost/proxy/SystemCallFaultsTest.java
+++ b/proxy/src/test/java/walkpost/proxy/SystemCallFaultsTest.java
@@ -177,4 +177,22 @@
             assertThat(faults.seen()).hasSize(2);
         }
     }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"wakeup_write=EIO", "wakeup_read=EIO"})
+    void shutdownServesToTheEndThoughTheLoopCouldNotBeWokenForAMoment(String call) throws Exception {
+        var faults = new SystemCallFaults(dir, call + ";most=2");
+        backend.always(Peer.ok("served"));
+        try (Program program = program(faults); Wire client = client(program)) {
+            client.send(Fixture.get("r1"));
+            assertThat(client.read().status()).isEqualTo(200);
+            faults.begin();
+            program.signal("TERM");
+            assertThat(program.line("draining")).isNotNull();
+            client.send(Fixture.get("r2"));
+            assertThat(client.read().status()).isEqualTo(200);
+            assertThat(program.line("drained|ends_with_clients")).isNotNull();
+            assertThat(program.status()).isZero();
+        }
+    }
 }
