Give nobody back where the folder of exclusions can not be read

Seen by callers: by reading, requests to servers that operators had taken out, while a call on their folder failed for a moment. Cause: Files.exists is false for any error, and the look each 100 ms took that for a folder that was never made. Class: an error taken for absence. Evidence: ExclusionsTest (a link to itself, ELOOP) failed before: the exclusion was given back. Change: only NoSuchFileException says that there is none; a file that stands already is no failure either. Result: the test passes.

--- a/proxy/src/main/java/walkpost/proxy/Exclusions.java
+++ b/proxy/src/main/java/walkpost/proxy/Exclusions.java
@@ -4,7 +4,9 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.DirectoryIteratorException;
+import java.nio.file.FileAlreadyExistsException;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.Base64;
 import java.util.HashMap;
@@ -115,9 +117,13 @@
         Path file = folder.resolve(name(id));
         if (!out) {
             Files.deleteIfExists(file);
-        } else if (!Files.exists(file)) {
-            Files.createDirectories(folder);
+            return;
+        }
+        Files.createDirectories(folder);
+        try {
             Files.createFile(file);
+        } catch (FileAlreadyExistsException e) {
+            // It stands already.
         }
     }
 
@@ -163,18 +169,18 @@
     /** Returns the ids that stand in the folder; null where it can't be read, and what was told last holds on. */
     private Set<String> onFile() {
         var ids = new HashSet<String>();
-        if (Files.exists(folder)) {
-            try (var files = Files.newDirectoryStream(folder)) {
-                for (Path file : files) {
-                    id(file.getFileName().toString()).ifPresent(ids::add);
-                }
-            } catch (IOException | DirectoryIteratorException e) {
-                if (readable) {
-                    log.warn("exclusions_unreadable", "holding", "those told before", "reason", e);
-                }
-                readable = false;
-                return null;
+        try (var files = Files.newDirectoryStream(folder)) {
+            for (Path file : files) {
+                id(file.getFileName().toString()).ifPresent(ids::add);
+            }
+        } catch (NoSuchFileException e) {
+            // Nothing was ever taken out here. Any other failure says nothing of what stands.
+        } catch (IOException | DirectoryIteratorException e) {
+            if (readable) {
+                log.warn("exclusions_unreadable", "holding", "those told before", "reason", e);
             }
+            readable = false;
+            return null;
         }
         readable = true;
         return ids;
