Write no empty order log over one that can not be read

Seen by callers: by reading, orders that a majority had acknowledged could be forgotten by a voter whose log could not be looked at for a moment when it started. Cause: Files.exists is false for any error, and a new, empty log took the place of the old one by a rename. Evidence: DirectoryTest.aLogThatCannotBeReadForAMomentIsNotTakenForNone (ELOOP) failed before: the directory opened, with nothing in it. Result: the test passes.

--- a/fleet/src/main/java/walkpost/fleet/shell/OrderLog.java
+++ b/fleet/src/main/java/walkpost/fleet/shell/OrderLog.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
@@ -86,11 +87,13 @@
     /** Returns how many bytes of a torn tail were cut. */
     private int restore() throws IOException, BadDirectory {
         Path file = folder.resolve(LOG);
-        if (!Files.exists(file)) {
+        LogFile.Scan scan;
+        try {
+            scan = LogFile.scan(file);
+        } catch (NoSuchFileException e) {
             compact();
             return 0;
         }
-        LogFile.Scan scan = LogFile.scan(file);
         if (scan.records().isEmpty()) {
             anew(file);
             return scan.length();
--- a/fleet/src/test/java/walkpost/fleet/shell/DirectoryTest.java
+++ b/fleet/src/test/java/walkpost/fleet/shell/DirectoryTest.java
@@ -65,6 +65,22 @@
         return folder;
     }
 
+    @Test
+    void aLogThatCannotBeReadForAMomentIsNotTakenForNone() throws Exception {
+        try (Directory directory = open(folder)) {
+            keep(directory, slot("a", 1));
+        }
+        Path log = folder.resolve(OrderLog.LOG);
+        Path aside = Files.move(log, folder.resolve("aside"));
+        // A link to itself ends in ELOOP, and not in that there is none.
+        Files.createSymbolicLink(log, log);
+        assertThatThrownBy(() -> open(folder)).isInstanceOf(BadDirectory.class);
+        Files.move(aside, log, java.nio.file.StandardCopyOption.REPLACE_EXISTING);
+        try (Directory directory = open(folder)) {
+            assertThat(bySubject(directory.restored())).containsOnlyKeys("a");
+        }
+    }
+
     /** Returns a file that does not wait for the disk: what a killed process has written is there, and a test of it is quick. */
     private static LogFile unforced(Path file, long end) throws IOException {
         return new LogFile(file, end) {
