Drop a link to a peer for which no socket could be had, instead of keeping it for ever

Seen by callers: by reading, a member that could send nothing large to a peer any more, after one failed call of socket. The channel that Netty hands back never closes, so its end was never heard and the link stood in the table; sending over it threw. Evidence: LinkTest failed before (with the constructor that it needs): send threw "channel not registered to an event loop". Change: a failed connection tells its end on the loop; what is sent there is dropped and counted. Waking the fleet's loop from another thread may fail and is counted. Result: the test passes.

--- a/fleet/src/main/java/walkpost/fleet/shell/Link.java
+++ b/fleet/src/main/java/walkpost/fleet/shell/Link.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -29,11 +30,18 @@
 
     private final Counters counters;
     private final Channel channel;
+    private Runnable whenEnded = () -> { };
+    private boolean ended;
 
     /** Connects from a host's address, any port: a peer, or what lies between, tells by it who sends. */
     Link(EventLoop loop, InetAddress from, InetSocketAddress to, Counters counters) {
+        this(loop, NioSocketChannel::new, from, to, counters);
+    }
+
+    /** Connects over a channel of another making. */
+    Link(EventLoop loop, ChannelFactory<Channel> transport, InetAddress from, InetSocketAddress to, Counters counters) {
         this.counters = counters;
-        ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        ChannelFuture connecting = new Bootstrap().group(loop).channelFactory(transport)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(MOST_WAITING / 2, MOST_WAITING))
@@ -49,13 +57,24 @@
                 channel.flush();
             } else {
                 counters.add("connections_failed", 1);
-                channel.close();
+                // Without a descriptor the news come from another thread, and the channel's own end never does.
+                loop.execute(this::ended);
             }
         });
+        channel.closeFuture().addListener(closed -> ended());
+    }
+
+    private void ended() {
+        ended = true;
+        whenEnded.run();
     }
 
     /** Sends a message, or has it wait for the connection. */
     void send(byte[] message) {
+        if (ended || !channel.isOpen()) {
+            counters.dropped("not_sent");
+            return;
+        }
         if (!channel.isWritable()) {
             counters.dropped("slow_peer");
             return;
@@ -71,12 +90,18 @@
         }
     }
 
+    /** Has a task run on the loop once nothing can be sent here any more; at once where that is so already. */
     void onClose(Runnable then) {
-        channel.closeFuture().addListener(closed -> then.run());
+        whenEnded = then;
+        if (ended) {
+            then.run();
+        }
     }
 
     void close() {
-        channel.close();
+        if (channel.isOpen()) {
+            channel.close();
+        }
     }
 
     /** A peer never speaks on a connection that was made to it, and one without use is given back. */
--- a/fleet/src/main/java/walkpost/fleet/shell/Transport.java
+++ b/fleet/src/main/java/walkpost/fleet/shell/Transport.java
@@ -153,6 +153,9 @@
             loop.execute(task);
         } catch (RejectedExecutionException e) {
             counters.add("after_the_end", 1);
+        } catch (InternalError e) {
+            // The JDK's word for a system call that failed to wake the loop: the task is queued and waits for the next timer.
+            counters.add("loop_not_woken", 1);
         }
     }
 
