Know how old a server's start is without trust in the wall clock of this machine

Seen by callers: by reading; a proxy whose machine's clock was an hour ahead when it started took every server that had just started for warm and sent it its whole share; one an hour behind held it for cold for that hour. Cause: the proxy's clock begins with the wall clock and was compared with the lists' Unix times for good. Evidence: DiscoveryTest.aServerThatIsListedAnewIsColdThoughTheWallClockIsAhead failed on the program unchanged. Change: ServerStartTimes: a start is never in the future; a server that the list before did not name started at the earliest 10 s before that list came; what was told of a start once stays as it was. Discovery's Date header is not read, as nothing says that it is of the clock of the lists. Left: servers of the first list of a process are judged by its wall clock, if that is ahead.

--- a/proxy/src/main/java/walkpost/proxy/Clock.java
+++ b/proxy/src/main/java/walkpost/proxy/Clock.java
@@ -6,7 +6,8 @@
 
 /**
  * The proxy's one clock: Unix time in microseconds, read from the system once and carried on by the monotonic timer.
- * So it compares with the start times that discovery tells, and never goes back when the system's time is set.
+ * It never goes back when the system's time is set, but begins as wrong as that was: {@link ServerStartTimes} says how old a server's start
+ * is known to be all the same.
  */
 final class Clock {
     private final long unixUs = ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now());
--- a/proxy/src/main/java/walkpost/proxy/Discovery.java
+++ b/proxy/src/main/java/walkpost/proxy/Discovery.java
@@ -48,6 +48,7 @@
     private ListVersion version = ListVersion.NONE;
     private boolean settled;
     private final RecallRule recall = new RecallRule();
+    private final ServerStartTimes starts = new ServerStartTimes();
 
     Discovery(EventLoop loop, ChannelFactory<Channel> transport, Proxy proxy, InetSocketAddress address, Balancer.Settings settings) {
         this(loop, proxy, address, settings,
@@ -175,6 +176,7 @@
             loop.schedule(() -> goOn(poll), NO_NEWS_MS, TimeUnit.MILLISECONDS);
         }
         if (verdict == Verdict.TAKE || verdict == Verdict.TAKE_ANEW) {
+            starts.listed(proxy.now());
             proxy.members(full ? ListKind.FULL : ListKind.DELTA, entries);
         }
     }
@@ -198,8 +200,12 @@
     /** Returns the entries of a list that make sense. */
     private List<Backends.Listed> entries(JsonNode list) {
         var listed = new ArrayList<Backends.Listed>();
+        long now = proxy.now();
         for (JsonNode entry : list.path("servers")) {
-            Backends.Listed line = line(entry);
+            starts.named(entry.path("started_ms").asLong(), now);
+        }
+        for (JsonNode entry : list.path("servers")) {
+            Backends.Listed line = line(entry, now);
             if (line == null) {
                 log.warn("entry_left_out", "reason", "malformed", "entry", entry);
             } else {
@@ -209,7 +215,7 @@
         return listed;
     }
 
-    private static Backends.Listed line(JsonNode entry) {
+    private Backends.Listed line(JsonNode entry, long now) {
         Balancer.State state = STATES.get(entry.path("state").asText());
         InetSocketAddress address = Config.address(entry.path("addr").asText());
         String id = entry.path("id").asText();
@@ -218,8 +224,8 @@
             return null;
         }
         return new Backends.Listed(new Balancer.Backend(id, state, entry.path("kind").asText(null),
-                entry.path("zone").asText(null), entry.path("cell").asInt(), entry.path("started_ms").asLong() * 1_000,
-                weight), address);
+                entry.path("zone").asText(null), entry.path("cell").asInt(),
+                starts.localUs(id, entry.path("started_ms").asLong(), now), weight), address);
     }
 
     /** A call that may wait, and those made beside it while it says nothing: the first sound answer ends them all. */
--- a/proxy/src/main/java/walkpost/proxy/Proxy.java
+++ b/proxy/src/main/java/walkpost/proxy/Proxy.java
@@ -109,6 +109,11 @@
         return beat;
     }
 
+    /** Returns the time on the proxy's clock, in microseconds. */
+    long now() {
+        return clock.now();
+    }
+
     /** Returns the number of requests that still want an answer or have attempts out. */
     int open() {
         return requests.size();
--- a/proxy/src/test/java/walkpost/proxy/DiscoveryTest.java
+++ b/proxy/src/test/java/walkpost/proxy/DiscoveryTest.java
@@ -14,6 +14,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -58,6 +59,26 @@
         channel.finishAndReleaseAll();
     }
 
+    /** By a wall clock that is an hour ahead it started an hour ago, and would be taken for warm. */
+    @Test
+    void aServerThatIsListedAnewIsColdThoughTheWallClockIsAhead() throws Exception {
+        long startedMs = System.currentTimeMillis() - Duration.ofHours(1).toMillis();
+        try (var proxy = new Fixture(watcher())) {
+            Wire call = proxy.discovery.accept();
+            call.read();
+            call.send(Peer.ok(Fixture.list(42, true)));
+            call = proxy.discovery.accept();
+            call.read();
+            String entry = Fixture.entry("s7", "127.0.0.1:1", "ready").replace("\"started_ms\":7", "\"started_ms\":" + startedMs);
+            call.send(Peer.ok(Fixture.list(43, false, entry)));
+            Members change = proxy.next(Members.class);
+            while (change.kind() != ListKind.DELTA) {
+                change = proxy.next(Members.class);
+            }
+            assertThat(change.backends().get(0).startedAtUs()).isGreaterThan((startedMs + Duration.ofMinutes(59).toMillis()) * 1_000);
+        }
+    }
+
     /** Ready means that it can serve: not without a backend. */
     @Test
     void isReadyOnceDiscoveryHasSpoken() throws Exception {
