Blame no server for a socket that this machine could not have

Cause: an attempt whose socket could not be had ended as CONNECT_FAILED, which judges the server. Change: it ends as NOT_SENT, which judges nobody. Other errors of connecting go on telling of the server, as routes and time-outs do. Result: AttemptsTest.aBackendIsNotBlamed... fails without the change by its words (CONNECT_FAILED); passes.

--- a/proxy/src/main/java/walkpost/proxy/Backends.java
+++ b/proxy/src/main/java/walkpost/proxy/Backends.java
@@ -5,6 +5,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelOption;
@@ -300,7 +301,8 @@
         private void connected(Future<Channel> f) {
             connecting = null;
             if (!f.isSuccess()) {
-                end(Outcome.CONNECT_FAILED, null);
+                // Where this machine had no socket to give, nothing is known of the backend.
+                end(f.cause() instanceof ChannelException ? Outcome.NOT_SENT : Outcome.CONNECT_FAILED, null);
             } else if (ended || !endpoint.open() || clock.now() > sendByUs) {
                 // It has come too late for this attempt, but may serve another.
                 endpoint.keep(f.getNow());
--- a/proxy/src/test/java/walkpost/proxy/AttemptsTest.java
+++ b/proxy/src/test/java/walkpost/proxy/AttemptsTest.java
@@ -7,6 +7,7 @@
 import walkpost.Balancer.Outcome;
 import walkpost.Balancer.State;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -99,6 +100,16 @@
         assertThat(Peer.next(ends)).isEqualTo(Outcome.OK);
     }
 
+    @Test
+    void aBackendIsNotBlamedForASocketThatThisMachineCouldNotHave() throws Exception {
+        var noSocket = new Backends(clock, loop, () -> {
+            throw new ChannelException("Too many open files");
+        }, new Sockets(1_024), new Buffers(1 << 20), 15_000_000, 1_000_000);
+        loop.submit(() -> noSocket.update(ListKind.FULL, List.of(line("s0", State.READY, peer.port())))).get();
+        loop.submit(() -> noSocket.attempt("s0", get("r1"), 5_000_000, Long.MAX_VALUE, new Heard()).start()).get();
+        assertThat(Peer.next(ends)).isEqualTo(Outcome.NOT_SENT);
+    }
+
     /** Netty puts off calling those who wait for a write where such calls nest too deep. */
     @ParameterizedTest
     @ValueSource(ints = {0, 1, 2, 3, 4, 5, 6, 7, 8})
