Give the graceful shutdown a class of its own

Need: Serve had grown to 345 lines and held the steps of a shutdown with all their times. Change: GracefulShutdown has them, in whole names; behaviour as it was.

--- a/proxy/src/main/java/walkpost/proxy/Serve.java
+++ b/proxy/src/main/java/walkpost/proxy/Serve.java
@@ -12,26 +12,11 @@
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.concurrent.Callable;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
 /** Runs one real proxy: puts its parts together, and takes it down when it is told to end. */
 public final class Serve {
-    /** New connections go on coming for so long after the signal. */
-    private static final long FRONT_LAG_MS = 500;
     private static final long LOOK_MS = 10;
-    /** The process is killed so long after the longest deadline, counted from the signal; a little earlier it ends. */
-    private static final long KILL_MS = 600;
-    /** A longer deadline than this does not put the kill off. */
-    private static final long MOST_DEADLINE_MS = 3_000;
-    /**
-     * So long before the end each answer becomes its connection's last; whoever asks then is still served. Not before the
-     * last new client has come, however short the deadlines are.
-     */
-    private static final long LAST_CALL_MS = 400;
-    /** What is taken is answered so long before the end: the answer is to be written as well. */
-    private static final long WRITING_MS = 100;
-
     /** Bodies that are waiting may take one part of so many of the memory: the process itself needs a third and more. */
     private static final int BUFFERS_PART = 8;
     /** Clients are taken in after so long even where there is no backend to send to, as nobody else may be there. */
@@ -40,9 +25,6 @@
     private static final String EXCLUDED = "excluded";
     /** The same for those of the fleet. */
     private static final String EXCLUDED_BY_FLEET = "excluded-by-fleet";
-    /** What has been answered so long before the end, the last call, leaves time for a good-bye to the fleet. */
-    private static final long GOODBYE_MS = 300;
-
     private volatile Config config;
     private final Surroundings surroundings;
     private final Log log = new Log("serve");
@@ -56,10 +38,9 @@
     private final Backends backends;
     private final TakenOut takenOut;
     private final Exclusions exclusions;
+    private final GracefulShutdown shutdown;
     /** Null where this proxy is in no fleet. */
     private volatile FleetSide fleet;
-    private volatile boolean draining;
-    private final CountDownLatch drained = new CountDownLatch(1);
 
     Serve(Config config, Surroundings surroundings) {
         this(config, surroundings, new Policy(config.settings()));
@@ -87,6 +68,7 @@
         discovery = new Discovery(loop, () -> new RetryingSocketChannel(failures), proxy, config.discovery(), settings);
         proxy.discovery(discovery);
         frontend = new Frontend(proxy, sockets, buffers, settings, this::available);
+        shutdown = new GracefulShutdown(clock, loop, frontend, proxy.beat(), shared(), config.name());
         takenOut = new TakenOut(proxy);
         exclusions = new Exclusions(loop, takenOut, surroundings.temp().resolve(EXCLUDED), "operators");
     }
@@ -214,10 +196,10 @@
     }
 
     private void listenOnceReady(long latest) {
-        if (draining) {
-            drained.countDown();
+        if (shutdown.begun()) {
+            shutdown.nobodyIsLeft();
         } else if (available() || clock.now() >= latest) {
-            frontend.listen(loop, surroundings.clients(), failures, this::watchForTheLast);
+            frontend.listen(loop, surroundings.clients(), failures, shutdown::watchForTheLastClient);
             log.info("listening", "proxy", config.name(), "socket", "inherited");
         } else {
             loop.schedule(() -> listenOnceReady(latest), LOOK_MS, TimeUnit.MILLISECONDS);
@@ -228,14 +210,6 @@
         return discovery.settled() && backends.ready() > 0;
     }
 
-    private void watchForTheLast() {
-        loop.scheduleWithFixedDelay(() -> {
-            if (!frontend.busy()) {
-                drained.countDown();
-            }
-        }, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
-    }
-
     private InetSocketAddress bound(String field, Callable<ChannelFuture> listen) throws Config.BadConfig {
         try {
             Channel bound = new StartRetry().untilDone(field, () -> boundOnce(listen));
@@ -251,7 +225,7 @@
     /** Returns the channel that listens, or null where it is not to listen any more. */
     private Channel boundOnce(Callable<ChannelFuture> listen) {
         ChannelFuture bound = loop.submit(listen).syncUninterruptibly().getNow();
-        if (bound == null || !bound.awaitUninterruptibly().isSuccess() && draining) {
+        if (bound == null || !bound.awaitUninterruptibly().isSuccess() && shutdown.begun()) {
             return null;
         }
         return bound.syncUninterruptibly().channel();
@@ -290,59 +264,17 @@
         log.warn("bad_configuration", "proxy", config.name(), "holding", "the old one", "reason", e.getMessage());
     }
 
-    /**
-     * Answers all that is taken, and ends the process in time. Until shortly before, clients are served over the
-     * connections they have: the next proxy in this place begins no sooner, and others may not be there.
-     */
+    /** Answers all that is taken, and returns when the process is to end. */
     void drain() {
         long longestMs = config.settings().classes().stream().mapToLong(c -> c.deadlineUs()).max().orElse(0) / 1_000;
-        long endMs = Math.min(longestMs, MOST_DEADLINE_MS) + KILL_MS;
-        long endAt = clock.now() + TimeUnit.MILLISECONDS.toMicros(endMs);
-        loop.execute(() -> beginDrain(endAt, endMs));
-        try {
-            boolean all = drained.await(endMs - GOODBYE_MS, TimeUnit.MILLISECONDS);
-            leave();
-            all = all || drained.await(endAt - clock.now(), TimeUnit.MICROSECONDS);
-            log.info(all ? "drained" : "ends_with_clients", "proxy", config.name());
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
-    private void beginDrain(long endAt, long endMs) {
-        draining = true;
-        log.info("draining", "proxy", config.name());
-        frontend.drain(endAt - TimeUnit.MILLISECONDS.toMicros(WRITING_MS));
-        if (shared()) {
-            // Whoever is not accepted yet is the next process's, and so is whoever has had an answer.
-            frontend.stopListening();
-            frontend.closeAfterAnswers();
-        } else {
-            beforeEnd(endAt, endMs - FRONT_LAG_MS, () -> {
-                frontend.stopListening();
-                watchForTheLast();
-            });
-        }
-        // A look at the sockets later: a listener that was closed in the same turn still takes newcomers in until then.
-        beforeEnd(endAt, Math.min(LAST_CALL_MS, endMs - FRONT_LAG_MS), () -> proxy.beat().afterLook(() -> {
-            frontend.closeAfterAnswers();
-            frontend.closeIdle();
-        }));
-        beforeEnd(endAt, WRITING_MS / 2, frontend::answerNow);
-    }
-
-    /** Has a task run on the loop so long before a moment on the clock. */
-    private void beforeEnd(long endAtUs, long beforeMs, Runnable task) {
-        long delayUs = endAtUs - TimeUnit.MILLISECONDS.toMicros(beforeMs) - clock.now();
-        loop.schedule(task, Math.max(0, delayUs), TimeUnit.MICROSECONDS);
+        shutdown.run(longestMs, this::leave);
     }
 
-    /** Says good-bye to the fleet, as late as can be: what it orders meanwhile holds for those who are still served here. */
-    private void leave() throws InterruptedException {
+    private void leave(long withinMs) throws InterruptedException {
         if (fleet != null) {
             var leaving = new Thread(fleet::close, "leave");
             leaving.start();
-            leaving.join(GOODBYE_MS);
+            leaving.join(withinMs);
         }
     }
 
