--- a/proxy/src/test/java/walkpost/proxy/ProxyTest.java
+++ b/proxy/src/test/java/walkpost/proxy/ProxyTest.java
@@ -46,6 +46,30 @@
         }
     }
 
+    @Test
+    void aFurtherAttemptIsToldNoMoreThanWhatItsClientHasLeft() throws Exception {
+        var held = new CompletableFuture<Fixture>();
+        try (var backend = new Peer(); var proxy = new Fixture((event, actions) -> {
+            if (event instanceof Arrival a) {
+                actions.accept(new Send(a.id(), "s0", 0));
+            } else if (event instanceof AttemptEnded a && a.attempt() == 0) {
+                held.join().skip(Duration.ofMillis(500));
+                actions.accept(new Send(a.id(), "s0", 0));
+            }
+        }, backend); var client = proxy.client()) {
+            held.complete(proxy);
+            client.send(Fixture.get("r1"));
+            Wire first = backend.accept();
+            assertThat(timeoutUs(first.read())).isLessThanOrEqualTo(1_900_000);
+            first.close();
+            assertThat(timeoutUs(backend.accept().read())).isBetween(1L, 1_400_000L);
+        }
+    }
+
+    private static long timeoutUs(Wire.Message attempt) {
+        return Long.parseLong(attempt.header("X-Timeout").replace("u", ""));
+    }
+
     /** Rule 2: no attempt goes out beside another, and none once the request is over or has had its tries. */
     @Test
     void sendsNoSecondCopy() throws Exception {
