--- a/proxy/src/main/java/walkpost/proxy/BackendConnection.java
+++ b/proxy/src/main/java/walkpost/proxy/BackendConnection.java
@@ -21,7 +21,7 @@
  * The reading side of a connection to a backend. It rests, with no attempt, or carries one: then nothing of the answer
  * has come, or it is gathered, or passed on, or {@code done}; and whatever ends the answer ends the attempt.
  */
-final class BackendConnection extends SimpleChannelInboundHandler<HttpObject> implements Passage.Source {
+final class BackendConnection extends SimpleChannelInboundHandler<HttpObject> implements BodyRelay.Source {
     private final Backends.Endpoint endpoint;
     private final Buffers buffers;
     private final BackendDecoder decoder = new BackendDecoder(this::due);
@@ -30,7 +30,7 @@
     /** The answer that is coming, and what of it has come; a long one is passed on instead. */
     private HttpResponse head;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
-    private Passage passage;
+    private BodyRelay relay;
     private HttpHeaders trailers;
     /** Something came of it before the request had gone out whole. */
     private boolean early;
@@ -111,9 +111,9 @@
             done = true;
             return;
         }
-        passage = new Passage(body, this, buffers);
+        relay = new BodyRelay(body, this, buffers);
         body = Unpooled.EMPTY_BUFFER;
-        attempt.streams(new Backends.Stream(head.headers(), HttpUtil.getContentLength(head, -1L), passage));
+        attempt.streams(new Backends.Stream(head.headers(), HttpUtil.getContentLength(head, -1L), relay));
     }
 
     private void content(HttpContent content) {
@@ -125,11 +125,11 @@
         }
         sound = content.decoderResult().isSuccess();
         int bytes = content.content().readableBytes();
-        if (sound && passage == null && bytes > 0 && (body.readableBytes() + bytes > Backends.MAX_BODY || buffers.full())) {
+        if (sound && relay == null && bytes > 0 && (body.readableBytes() + bytes > Backends.MAX_BODY || buffers.full())) {
             longAnswer();
         }
-        if (sound && passage != null) {
-            passage.add(content.content().retain());
+        if (sound && relay != null) {
+            relay.add(content.content().retain());
         } else if (sound && !done) {
             body = Headers.gather(body, content.content(), channel.alloc(), buffers);
         }
@@ -157,7 +157,7 @@
         Outcome outcome = outcome();
         HttpHeaders headers = head.headers();
         ByteBuf whole = body;
-        Passage passed = passage;
+        BodyRelay passed = relay;
         boolean reusable = trailers != null && a.mayHaveRun() && HttpUtil.isKeepAlive(head)
                 && channel.isActive() && decoder.isClear();
         HttpHeaders last = trailers;
@@ -187,7 +187,7 @@
         attempt = null;
         head = null;
         body = Unpooled.EMPTY_BUFFER;
-        passage = null;
+        relay = null;
         trailers = null;
         early = false;
         done = false;
@@ -233,7 +233,7 @@
         endpoint.closed(channel);
         settle();
         Backends.Attempt a = attempt;
-        Passage passed = passage;
+        BodyRelay passed = relay;
         buffers.letGo(body.readableBytes());
         body.release();
         forget();
@@ -250,7 +250,7 @@
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
         if (event instanceof IdleStateEvent) {
             // An attempt has its time-out; a body that is passed on has none but this.
-            boolean silent = passage != null && channel.config().isAutoRead();
+            boolean silent = relay != null && channel.config().isAutoRead();
             boolean stuck = attempt != null && attempt.isStuck();
             if (attempt == null || silent || stuck) {
                 ctx.close();
--- a/proxy/src/main/java/walkpost/proxy/Backends.java
+++ b/proxy/src/main/java/walkpost/proxy/Backends.java
@@ -44,9 +44,9 @@
 
     /**
      * What goes to a backend; it is the same for each attempt, but for the time left. The body is whole, or else in a
-     * passage, on which it may still be coming.
+     * relay, on which it may still be coming.
      */
-    record Outgoing(HttpMethod method, String uri, HttpHeaders headers, ByteBuf body, Passage passage) { }
+    record Outgoing(HttpMethod method, String uri, HttpHeaders headers, ByteBuf body, BodyRelay relay) { }
 
     /** A backend's 200. The body is the receiver's to release. */
     record Answer(HttpHeaders headers, ByteBuf body) { }
@@ -55,7 +55,7 @@
     record Listed(Balancer.Backend backend, SocketAddress address) { }
 
     /** A backend's 200 that has begun; {@code length} is -1 where it is not known. The body is the receiver's to end. */
-    record Stream(HttpHeaders headers, long length, Passage body) { }
+    record Stream(HttpHeaders headers, long length, BodyRelay body) { }
 
     /** Hears what becomes of an attempt. */
     interface AttemptListener {
@@ -188,7 +188,7 @@
     Attempt attempt(String id, Outgoing outgoing, long timeoutUs, long sendByUs, AttemptListener listener) {
         Endpoint endpoint = endpoints.get(id);
         if (endpoint == null || !endpoint.open() || !endpoint.pool.hasIdle() && !sockets.roomForBackend()
-                || outgoing.passage() != null && !outgoing.passage().fresh()) {
+                || outgoing.relay() != null && !outgoing.relay().fresh()) {
             return null;
         }
         return new Attempt(endpoint, outgoing, timeoutUs, sendByUs, listener);
@@ -259,7 +259,7 @@
     }
 
     /** One attempt, from the wish for a connection to its end. */
-    final class Attempt implements Passage.Sink {
+    final class Attempt implements BodyRelay.Sink {
         private final Endpoint endpoint;
         private final Outgoing outgoing;
         private final long timeoutUs;
@@ -320,7 +320,7 @@
 
         private void write() {
             channel.pipeline().get(BackendConnection.class).carry(this);
-            if (outgoing.passage() != null) {
+            if (outgoing.relay() != null) {
                 pass();
                 return;
             }
@@ -380,7 +380,7 @@
             timer.cancel(false);
             sending = true;
             listener.sending();
-            outgoing.passage().to(this);
+            outgoing.relay().to(this);
         }
 
         @Override
@@ -407,7 +407,7 @@
         /** The connection takes more. */
         void flow() {
             if (sending) {
-                outgoing.passage().flow();
+                outgoing.relay().flow();
             }
         }
 
@@ -447,7 +447,7 @@
             endpoint.out.remove(this);
             if (sending) {
                 sending = false;
-                outgoing.passage().detach();
+                outgoing.relay().detach();
             }
             listener.ended(outcome, (firstBytesAt > 0 ? firstBytesAt : clock.now()) - startedAt, answer);
         }
--- a/proxy/src/main/java/walkpost/proxy/Passage.java
+++ b/proxy/src/main/java/walkpost/proxy/BodyRelay.java
@@ -12,7 +12,7 @@
  * A body that is passed on as it comes, from the connection that it is read from to the one that it is written to. It
  * owns what has come and not gone yet, and has the one side wait for the other.
  */
-final class Passage {
+final class BodyRelay {
     /** Where a body comes from. */
     interface Source {
         /** The other side has enough for now, or wants more. */
@@ -27,7 +27,7 @@
         /** The connection that it is written to. */
         Channel channel();
 
-        /** Returns whether it can take more; when it can again, it calls {@link Passage#flow}. */
+        /** Returns whether it can take more; when it can again, it calls {@link BodyRelay#flow}. */
         default boolean ready() {
             return channel().isWritable();
         }
@@ -68,10 +68,10 @@
     /**
      * Makes one.
      *
-     * @param start what has come so far, which is now the passage's and is counted already. It can be sent to one sink
+     * @param start what has come so far, which is now the relay's and is counted already. It can be sent to one sink
      *              after another, as long as nothing beyond it has gone to any
      */
-    Passage(ByteBuf start, Source source, Buffers buffers) {
+    BodyRelay(ByteBuf start, Source source, Buffers buffers) {
         this.start = start;
         this.source = source;
         this.buffers = buffers;
@@ -79,7 +79,7 @@
 
     // The source's side
 
-    /** Takes the next bytes, which are now the passage's to release. */
+    /** Takes the next bytes, which are now the relay's to release. */
     void add(ByteBuf data) {
         if (over) {
             data.release();
--- a/proxy/src/main/java/walkpost/proxy/Exchange.java
+++ b/proxy/src/main/java/walkpost/proxy/Exchange.java
@@ -22,7 +22,7 @@
 import java.util.regex.Pattern;
 
 /** A request and its one answer. */
-final class Exchange implements Proxy.Reply, Passage.Sink {
+final class Exchange implements Proxy.Reply, BodyRelay.Sink {
     private static final Pattern TIMEOUT = Pattern.compile("(\\d{1,8})([mu])");
     private static final Pattern COST = Pattern.compile("\\d{1,9}");
     /** What a request takes in memory, whatever stands in it. */
@@ -47,24 +47,24 @@
     private final Frontend.Terms came;
     private final ByteBuf body;
     /** The body, where it is too long to be taken in whole; else null. */
-    private final Passage passage;
+    private final BodyRelay relay;
     private boolean whole;
     private long arrivedAt;
     private long patienceUs;
     private String id;
     /** A long answer, from when it begins until it ends, and whether the connection goes on after it. */
-    private Passage answer;
+    private BodyRelay answer;
     private boolean keepAlive;
     private boolean released;
 
-    Exchange(Frontend front, ClientConnection connection, HttpRequest head, Frontend.Terms came, ByteBuf body, Passage passage) {
+    Exchange(Frontend front, ClientConnection connection, HttpRequest head, Frontend.Terms came, ByteBuf body, BodyRelay relay) {
         this.front = front;
         this.connection = connection;
         this.head = head;
         this.came = came;
         this.body = body;
-        this.passage = passage;
-        this.whole = passage == null;
+        this.relay = relay;
+        this.whole = relay == null;
         this.arrivedAt = connection.readAt();
     }
 
@@ -90,16 +90,16 @@
         front.proxy.arrived(incoming, this);
     }
 
-    /** More of a long request has come; the bytes are now the passage's to release. */
+    /** More of a long request has come; the bytes are now the relay's to release. */
     void passOn(ByteBuf bytes) {
-        passage.add(bytes);
+        relay.add(bytes);
     }
 
     /** The rest of a long request has come: its time begins to run. */
     void whole(HttpHeaders trailers) {
         whole = true;
         arrivedAt = connection.readAt();
-        passage.end(trailers);
+        relay.end(trailers);
         if (id != null) {
             front.proxy.whole(id, deadline());
         }
@@ -143,7 +143,7 @@
         patienceUs = patienceUs(header(headers, Headers.TIMEOUT));
         return new Proxy.Incoming(requestId, requestClass, tenant, keys == null ? null : keys.get(0),
                 "1".equals(headers.get(Headers.RETRIED)), costUs(headers.get(Headers.COST)), deadline(), whole, in.limits(),
-                new Backends.Outgoing(head.method(), target, headers, body, passage));
+                new Backends.Outgoing(head.method(), target, headers, body, relay));
     }
 
     private static String header(HttpHeaders headers, String name) throws Rejected {
@@ -276,11 +276,11 @@
             return;
         }
         released = true;
-        if (passage == null) {
+        if (relay == null) {
             front.buffers.letGo(body.readableBytes());
             body.release();
         } else {
-            passage.breakOff();
+            relay.breakOff();
         }
     }
 
--- a/proxy/src/main/java/walkpost/proxy/Intake.java
+++ b/proxy/src/main/java/walkpost/proxy/Intake.java
@@ -11,7 +11,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 
 /** A request that is coming. It is gathered whole, unless it is long: then the exchange begins before it has ended. */
-final class Intake implements Passage.Source {
+final class Intake implements BodyRelay.Source {
     private final Frontend front;
     private final ClientConnection connection;
     private final HttpRequest head;
@@ -43,9 +43,9 @@
         announced &= !bytes.isReadable();
         if (passed == null && bytes.isReadable()
                 && (body.readableBytes() + bytes.readableBytes() > Backends.MAX_BODY || front.buffers.full())) {
-            var passage = new Passage(body, this, front.buffers);
+            var relay = new BodyRelay(body, this, front.buffers);
             body = Unpooled.EMPTY_BUFFER;
-            passed = new Exchange(front, connection, head, came, body, passage);
+            passed = new Exchange(front, connection, head, came, body, relay);
             connection.take(passed);
         }
         if (passed != null) {
--- a/proxy/src/main/java/walkpost/proxy/OperatorDoor.java
+++ b/proxy/src/main/java/walkpost/proxy/OperatorEndpoint.java
@@ -33,7 +33,7 @@
  * Where the operators' staff call: a line to a connection, answered by one that begins with {@code SUCCESS} or
  * {@code FAILURE}. Anyone may connect, so nobody may hold it up or use up its descriptors.
  */
-final class OperatorDoor {
+final class OperatorEndpoint {
     /** Callers at a time. One more, and the longest connected is let go: most likely it is one that says nothing. */
     static final int CALLERS = 16;
     /** The longest call, with an id of {@link Exclusions#LONGEST_ID}. */
@@ -83,7 +83,7 @@
     /** All that may be called; made at the first call, as a start is paid for by clients who wait for it. */
     private List<Call> calls;
 
-    OperatorDoor(BooleanSupplier ready, Exclusions exclusions, FleetSide fleet) {
+    OperatorEndpoint(BooleanSupplier ready, Exclusions exclusions, FleetSide fleet) {
         this.ready = ready;
         this.exclusions = exclusions;
         this.fleet = fleet;
@@ -207,7 +207,7 @@
             }
             asked = true;
             silent.cancel(false);
-            OperatorDoor.this.answer(line).whenComplete((text, e) -> {
+            OperatorEndpoint.this.answer(line).whenComplete((text, e) -> {
                 if (ctx.executor().inEventLoop()) {
                     answer(ctx, text);
                 } else {
--- a/proxy/src/main/java/walkpost/proxy/Serve.java
+++ b/proxy/src/main/java/walkpost/proxy/Serve.java
@@ -158,8 +158,8 @@
             return null;
         }
         loop.execute(exclusions::start);
-        var door = new OperatorDoor(frontend::ready, exclusions, fleet);
-        return bound("operator", () -> door.listen(loop, surroundings.operator(), failures));
+        var endpoint = new OperatorEndpoint(frontend::ready, exclusions, fleet);
+        return bound("operator", () -> endpoint.listen(loop, surroundings.operator(), failures));
     }
 
     private FleetSide.Condition condition() {
--- a/proxy/src/test/java/walkpost/proxy/PassageTest.java
+++ b/proxy/src/test/java/walkpost/proxy/BodyRelayTest.java
@@ -12,7 +12,7 @@
 import org.junit.jupiter.api.Test;
 
 /** However slow the one side is, what is held for it stays little, and nothing of it is left behind. */
-class PassageTest {
+class BodyRelayTest {
     private static final int PIECE = 10_000;
 
     private final Buffers buffers = new Buffers(1_000_000);
@@ -20,7 +20,7 @@
     private final Source source = new Source();
     private final Sink sink = new Sink();
 
-    private static final class Source implements Passage.Source {
+    private static final class Source implements BodyRelay.Source {
         private boolean reading = true;
         private int unwanted;
 
@@ -35,7 +35,7 @@
         }
     }
 
-    private static final class Sink implements Passage.Sink {
+    private static final class Sink implements BodyRelay.Sink {
         private int room;
         private int bytes;
         private int ends;
@@ -79,9 +79,9 @@
         return piece;
     }
 
-    private Passage passage() {
+    private BodyRelay relay() {
         buffers.hold(PIECE);
-        return new Passage(piece(), source, buffers);
+        return new BodyRelay(piece(), source, buffers);
     }
 
     private void nothingIsLeft() {
@@ -91,18 +91,18 @@
 
     @Test
     void hasTheSourceWaitForTheSink() {
-        Passage passage = passage();
-        passage.to(sink);
+        BodyRelay relay = relay();
+        relay.to(sink);
         int pieces = 0;
         while (source.reading) {
-            passage.add(piece());
+            relay.add(piece());
             pieces++;
         }
         assertThat(pieces * PIECE).isBetween(32 * 1024, 64 * 1024);
         sink.room = Integer.MAX_VALUE;
-        passage.flow();
+        relay.flow();
         assertThat(source.reading).isTrue();
-        passage.end(EmptyHttpHeaders.INSTANCE);
+        relay.end(EmptyHttpHeaders.INSTANCE);
         assertThat(sink.bytes).isEqualTo((pieces + 1) * PIECE);
         assertThat(sink.ends).isOne();
         nothingIsLeft();
@@ -111,30 +111,30 @@
     /** Where the process holds much already, each holds next to nothing. */
     @Test
     void holdsNothingBeyondWhatAllMayHold() {
-        Passage passage = passage();
-        passage.to(sink);
-        passage.add(piece());
+        BodyRelay relay = relay();
+        relay.to(sink);
+        relay.add(piece());
         assertThat(source.reading).isTrue();
         buffers.hold(1_000_000);
-        passage.add(piece());
+        relay.add(piece());
         assertThat(source.reading).isFalse();
-        passage.cancel();
+        relay.cancel();
         buffers.letGo(1_000_000);
         nothingIsLeft();
     }
 
     @Test
     void beginsAnewForAnotherSinkAsLongAsNothingIsLost() {
-        Passage passage = passage();
+        BodyRelay relay = relay();
         sink.room = 1;
-        passage.to(sink);
-        passage.add(piece());
-        passage.detach();
-        assertThat(passage.fresh()).isTrue();
+        relay.to(sink);
+        relay.add(piece());
+        relay.detach();
+        assertThat(relay.fresh()).isTrue();
         var other = new Sink();
         other.room = Integer.MAX_VALUE;
-        passage.to(other);
-        passage.end(EmptyHttpHeaders.INSTANCE);
+        relay.to(other);
+        relay.end(EmptyHttpHeaders.INSTANCE);
         assertThat(other.bytes).isEqualTo(2 * PIECE);
         assertThat(other.ends).isOne();
         assertThat(sink.ends + sink.breaks).isZero();
@@ -143,25 +143,25 @@
 
     @Test
     void isUnwantedOnceTheSinkGoesWithAPartOfIt() {
-        Passage passage = passage();
+        BodyRelay relay = relay();
         sink.room = Integer.MAX_VALUE;
-        passage.to(sink);
-        passage.add(piece());
-        passage.detach();
-        assertThat(passage.fresh()).isFalse();
+        relay.to(sink);
+        relay.add(piece());
+        relay.detach();
+        assertThat(relay.fresh()).isFalse();
         assertThat(source.unwanted).isOne();
-        passage.add(piece());
+        relay.add(piece());
         nothingIsLeft();
     }
 
     @Test
     void tellsTheSinkOnceThatTheRestWillNotCome() {
-        Passage passage = passage();
-        passage.to(sink);
-        passage.add(piece());
-        passage.breakOff();
-        passage.breakOff();
-        passage.cancel();
+        BodyRelay relay = relay();
+        relay.to(sink);
+        relay.add(piece());
+        relay.breakOff();
+        relay.breakOff();
+        relay.cancel();
         assertThat(sink.breaks).isOne();
         assertThat(source.unwanted).isZero();
         nothingIsLeft();
--- a/proxy/src/test/java/walkpost/proxy/OperatorDoorTest.java
+++ b/proxy/src/test/java/walkpost/proxy/OperatorEndpointTest.java
@@ -18,7 +18,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** What the operators' staff may say to a proxy, and what comes of it. */
-class OperatorDoorTest {
+class OperatorEndpointTest {
     @TempDir
     private Path temp;
 
@@ -79,7 +79,7 @@
     void silentCallersHoldUpNobody() throws Exception {
         var silent = new ArrayList<Wire>();
         try (var backend = new Peer(); var proxy = Fixture.operated((event, actions) -> { }, temp, backend)) {
-            for (int i = 0; i < 4 * OperatorDoor.CALLERS; i++) {
+            for (int i = 0; i < 4 * OperatorEndpoint.CALLERS; i++) {
                 silent.add(proxy.door());
             }
             assertThat(proxy.call("exclude s0\n")).startsWith("SUCCESS");
