--- a/review/stand/Rig.java
+++ b/review/stand/Rig.java
@@ -415,6 +415,11 @@
         final String address;
 
         TileServer(Rig rig, String id, Work work) throws IOException {
+            this(rig, id, head -> { }, work);
+        }
+
+        /** Creates a tile server; {@code onHead} is told of a request as soon as its head has arrived. */
+        TileServer(Rig rig, String id, java.util.function.Consumer<Message> onHead, Work work) throws IOException {
             this.id = id;
             ServerSocket socket = rig.listen("127.0.0.1", 128);
             address = "127.0.0.1:" + socket.getLocalPort();
@@ -428,6 +433,7 @@
                             boolean stays = true;
                             while (stays) {
                                 Message request = readHead(in);
+                                onHead.accept(request);
                                 readBody(in, request);
                                 stays = work.handle(request, connection);
                             }
