Log that nothing of a request's body is read because its server takes nothing

Change: WARN frontend body_blocked with the request's id, the bytes read so far and the time since the last read, each 2.5 s in which reading from the client is paused and brings nothing.

--- a/proxy/src/main/java/walkpost/proxy/ClientConnection.java
+++ b/proxy/src/main/java/walkpost/proxy/ClientConnection.java
@@ -183,6 +183,10 @@
      * waits for {@code 100 Continue}.
      */
     private void bodyPeriodElapsed() {
+        if (!channel.config().isAutoRead() && bodyBytesInPeriod == 0) {
+            frontend.log.warn("body_blocked", "request", receiver.requestId(), "received_bytes", receiver.receivedBytes(),
+                    "blocked_ms", (frontend.lagMonitor().nowUs() - lastReadAtUs) / 1_000);
+        }
         if (bodyBytesInPeriod >= MIN_BODY_BYTES_PER_PERIOD || !channel.config().isAutoRead() || receiver.awaitsContinue()) {
             startBodyTimer();
         } else {
--- a/proxy/src/main/java/walkpost/proxy/RequestReceiver.java
+++ b/proxy/src/main/java/walkpost/proxy/RequestReceiver.java
@@ -20,6 +20,7 @@
     private final HttpRequest head;
     private final Frontend.AdmissionRules rulesAtArrival;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
+    private long receivedBytes;
     /** Whether the client waits for {@code 100 Continue} before it sends the body. */
     private boolean awaitsContinue;
     private ClientExchange startedExchange;
@@ -47,6 +48,7 @@
     void add(HttpContent content) {
         ByteBuf bytes = content.content();
         connection.bodyBytesReceived(bytes.readableBytes());
+        receivedBytes += bytes.readableBytes();
         awaitsContinue &= !bytes.isReadable();
         if (startedExchange == null && bytes.isReadable()
                 && (body.readableBytes() + bytes.readableBytes() > ServerConnections.MAX_BUFFERED_BODY_BYTES
@@ -71,6 +73,16 @@
         }
     }
 
+    /** Returns the request's id, or null if the client has given none. */
+    String requestId() {
+        return head.headers().get(Headers.REQUEST_ID);
+    }
+
+    /** Returns the number of bytes of the body that have been read. */
+    long receivedBytes() {
+        return receivedBytes;
+    }
+
     boolean awaitsContinue() {
         return awaitsContinue;
     }
