Release the responses that AttemptsTest gets

Cause: Netty's leak detector reported a buffer that was never released, in a run of six test classes beside each other, on the program unchanged as well. Its record (level paranoid) names Headers.appendBody under ServerConnectionHandler.onContent, no other place. The receiver of a buffered response must release it; the listener of AttemptsTest dropped it.

Change: it releases the response. The program is not touched.

--- a/proxy/src/test/java/walkpost/proxy/AttemptsTest.java
+++ b/proxy/src/test/java/walkpost/proxy/AttemptsTest.java
@@ -46,6 +46,9 @@
 
         @Override
         public void onEnded(Outcome outcome, long latencyUs, ServerConnections.BufferedResponse response) {
+            if (response != null) {
+                response.body().release();
+            }
             outcomes.add(outcome);
         }
     }
