Answer a long request in time though its server takes no more of its body

Cause: the deadline of a relayed body counted from the reading of its last byte, and until then the attempt's timer was cancelled and the safety timer not set. While the server takes nothing, reading is paused; the last bytes lie in the system's buffers, and the event that starts the clock waits for the server that hangs. The same cause gave the full time anew to a request that had waited unread, in the time told to the server as well.

Change: UnreadInput bounds since when input of a connection may be unread, BodyArrival when a body may have been written whole.

Why it works: a request can have been written whole no earlier than input was last known to be empty, so an answer by this deadline is in time whatever the client did; a client that is slow itself moves the bound with each byte.

--- a/proxy/src/main/java/walkpost/proxy/BalancerDriver.java
+++ b/proxy/src/main/java/walkpost/proxy/BalancerDriver.java
@@ -40,6 +40,12 @@
         /** Returns whether the client is connected and still waits for this response, judged by the input read so far. */
         boolean isClientConnected();
 
+        /**
+         * Returns the last moment, on the proxy's clock, at which an answer can be sent and still reach the client before it gives up.
+         * While the body of the request is being received, this is the earliest moment that it may turn out to be, and may move on.
+         */
+        long deadlineUs();
+
         /** Returns whether the client may have closed its connection some time ago without the proxy having read that yet. */
         boolean mayHaveUnreadClose();
     }
@@ -47,12 +53,10 @@
     /**
      * A client's request.
      *
-     * @param deadlineUs the last moment, on the proxy's clock, at which an answer can be sent and still reach the client before it gives up
-     * @param fullyReceived whether the body has been received completely; until then the request's time is not running
      * @param limits the limits that were in force when the request came in
      */
     record IncomingRequest(String id, String requestClass, String tenant, String key, boolean repeat, long costUs,
-            long deadlineUs, boolean fullyReceived, Balancer.Limits limits, ServerConnections.OutgoingRequest outgoing) { }
+            Balancer.Limits limits, ServerConnections.OutgoingRequest outgoing) { }
 
     /** A request and its attempts, kept until the request is finished and none of its attempts is in flight. */
     private static final class Request {
@@ -60,10 +64,6 @@
         private final Responder responder;
         /** The attempts by number; null where an attempt was never sent. */
         private final List<ServerConnections.Attempt> attempts = new ArrayList<>(2);
-        /** The time that the request had left when it came in. */
-        private final long patienceUs;
-        private long deadlineUs;
-        private boolean fullyReceived;
         private int attemptsInFlight;
         /** The number of attempts that the balancer has ordered and that have not begun yet. */
         private int attemptsPending;
@@ -71,17 +71,9 @@
         private boolean finished;
         private Future<?> safetyTimer;
 
-        Request(IncomingRequest incoming, Responder responder, long nowUs) {
+        Request(IncomingRequest incoming, Responder responder) {
             this.incoming = incoming;
             this.responder = responder;
-            this.deadlineUs = incoming.deadlineUs();
-            this.patienceUs = deadlineUs - nowUs;
-            this.fullyReceived = incoming.fullyReceived();
-        }
-
-        /** Returns the time left until the deadline; all of it while the body is still being received. */
-        long leftUs(long nowUs) {
-            return fullyReceived ? deadlineUs - nowUs : patienceUs;
         }
     }
 
@@ -142,33 +134,24 @@
 
     /** Takes a client's request in. Fails it at once if its deadline has passed. */
     void requestArrived(IncomingRequest incoming, Responder responder) {
-        long nowUs = clock.nowUs();
-        if (nowUs >= incoming.deadlineUs()) {
+        var request = new Request(incoming, responder);
+        long leftUs = leftUs(request);
+        if (leftUs <= 0) {
             responder.fail();
             return;
         }
-        var request = new Request(incoming, responder, nowUs);
         requests.put(incoming.id(), request);
-        if (request.fullyReceived) {
-            startSafetyTimer(request);
-        }
-        deliver(new Balancer.Arrival(incoming.id(), incoming.requestClass(), incoming.tenant(), incoming.key(),
-                incoming.deadlineUs() - nowUs, incoming.repeat(), incoming.costUs()));
+        startSafetyTimer(request);
+        deliver(new Balancer.Arrival(incoming.id(), incoming.requestClass(), incoming.tenant(), incoming.key(), leftUs,
+                incoming.repeat(), incoming.costUs()));
     }
 
-    /** Records that the body of a request has been received completely. The request's time runs from now on. */
-    void requestFullyReceived(String id, long deadlineUs) {
-        Request request = requests.get(id);
-        if (request != null && !request.finished) {
-            request.deadlineUs = deadlineUs;
-            request.fullyReceived = true;
-            startSafetyTimer(request);
-        }
+    private long leftUs(Request request) {
+        return request.responder.deadlineUs() - clock.nowUs();
     }
 
     private void startSafetyTimer(Request request) {
-        request.safetyTimer = loop.schedule(() -> failOverdue(request), request.deadlineUs + SAFETY_DELAY_US - clock.nowUs(),
-                TimeUnit.MICROSECONDS);
+        request.safetyTimer = loop.schedule(() -> failIfOverdue(request), leftUs(request) + SAFETY_DELAY_US, TimeUnit.MICROSECONDS);
     }
 
     /** Ends a request whose client has closed its connection before it had an answer. */
@@ -181,9 +164,14 @@
         }
     }
 
-    /** Fails a request that the balancer has not answered, so that every client gets an answer in time. */
-    private void failOverdue(Request request) {
-        if (!request.finished) {
+    /**
+     * Fails a request that the balancer has not answered, so that every client gets an answer in time; waits again if the deadline has
+     * moved on while the request was being received.
+     */
+    private void failIfOverdue(Request request) {
+        if (!request.finished && leftUs(request) > 0) {
+            startSafetyTimer(request);
+        } else if (!request.finished) {
             answer(request, Responder::fail);
             deliver(new Balancer.ClientGone(request.incoming.id()));
             removeIfDone(request);
@@ -233,6 +221,11 @@
             this.serverId = serverId;
         }
 
+        @Override
+        public long deadlineUs() {
+            return request.responder.deadlineUs();
+        }
+
         @Override
         public void onBodySendingStarted() {
             deliver(new Balancer.RequestStreamStarted(request.incoming.id(), number));
@@ -240,7 +233,7 @@
 
         @Override
         public void onBodySent() {
-            deliver(new Balancer.RequestStreamEnded(request.incoming.id(), number, request.leftUs(clock.nowUs())));
+            deliver(new Balancer.RequestStreamEnded(request.incoming.id(), number, leftUs(request)));
         }
 
         @Override
@@ -419,7 +412,7 @@
 
     /** Returns an attempt that may be started, or null if the limits, the time left or the server don't allow one. */
     private ServerConnections.Attempt createAttempt(Request request, int number, Balancer.Send send) {
-        long leftUs = request.leftUs(clock.nowUs());
+        long leftUs = leftUs(request);
         long timeoutUs = send.timeoutUs() == 0 ? leftUs : Math.min(send.timeoutUs(), leftUs);
         Balancer.Limits limits = request.incoming.limits();
         return number >= limits.maxAttempts() || timeoutUs <= 0 || request.attemptsInFlight > 0 && !limits.hedging() ? null
--- a/proxy/src/main/java/walkpost/proxy/ClientConnection.java
+++ b/proxy/src/main/java/walkpost/proxy/ClientConnection.java
@@ -1,5 +1,6 @@
 package walkpost.proxy;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -38,12 +39,7 @@
     private final LingeringClose closing;
     private final PipelinedRequests pipelined;
     private final RequestDecoder decoder = new RequestDecoder();
-    /**
-     * Whether the client's close (FIN or RST) may have arrived some time ago and still be unread, because the connection was not read from
-     * for a while.
-     */
-    private boolean mayHaveUnreadClose;
-    private int reads;
+    private final UnreadInput unreadInput;
     private Channel channel;
     private ClientExchange exchange;
     private RequestReceiver receiver;
@@ -64,7 +60,7 @@
         this.frontend = frontend;
         this.closing = closing;
         this.pipelined = new PipelinedRequests(frontend.bufferBudget);
-        this.mayHaveUnreadClose = mayHaveWaited;
+        this.unreadInput = new UnreadInput(frontend.lagMonitor(), mayHaveWaited);
     }
 
     @Override
@@ -78,16 +74,15 @@
 
     /**
      * Records when the bytes may have arrived and passes them to the decoder. A request's deadline counts from the sending of its last
-     * byte; the arrival of that byte is the closest moment that the proxy can know.
+     * byte; the earliest moment at which that byte may have arrived is the closest bound that the proxy has.
      */
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
-        trackUnreadClose();
+        lastReadAtUs = unreadInput.onRead((ByteBuf) message);
         if (finalResponse != null || closing.isStarted()) {
             ReferenceCountUtil.release(message);
             return;
         }
-        lastReadAtUs = frontend.lagMonitor().earliestArrivalUs();
         if (!isReceivingRequest()) {
             startHeadTimer();
             frontend.connectionBudget.setClientIdle(closing, false);
@@ -105,17 +100,10 @@
         }
     }
 
-    /**
-     * Updates whether the client's close may be unread. One read takes in a limited number of bytes, so the close is known not to be there
-     * only once a poll of the sockets has brought no further read on this connection.
-     */
-    private void trackUnreadClose() {
-        reads++;
-        mayHaveUnreadClose |= frontend.lagMonitor().isLagging();
-        if (mayHaveUnreadClose) {
-            int readsBefore = reads;
-            frontend.lagMonitor().runAfterIoPoll(() -> mayHaveUnreadClose &= reads != readsBefore);
-        }
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
+        unreadInput.onReadComplete();
+        super.channelReadComplete(ctx);
     }
 
     /** Returns whether bytes of a request have arrived that is not complete yet. */
@@ -299,8 +287,14 @@
      * the client's close may be behind the bytes that are still unread.
      */
     void setReadPaused(boolean paused) {
-        if (!closing.isStarted()) {
-            channel.config().setAutoRead(!paused || finalResponse != null);
+        if (closing.isStarted() || finalResponse != null) {
+            return;
+        }
+        channel.config().setAutoRead(!paused);
+        if (paused) {
+            unreadInput.onPaused();
+        } else {
+            unreadInput.onResumed();
         }
     }
 
@@ -376,21 +370,21 @@
         return channel;
     }
 
-    /** Returns when the bytes of the latest read may have arrived, in microseconds on the proxy's clock. */
+    /** Returns the earliest time at which the bytes of the latest read may have arrived, in microseconds on the proxy's clock. */
     long lastReadAtUs() {
         return lastReadAtUs;
     }
 
+    /** Returns the bound of what the client may have sent that has not been read. */
+    UnreadInput unreadInput() {
+        return unreadInput;
+    }
+
     /** Returns whether an exchange is the current one, whose response is the next on this connection. */
     boolean isCurrent(ClientExchange candidate) {
         return exchange == candidate;
     }
 
-    /** Returns whether the client's close may have arrived some time ago and still be unread. */
-    boolean mayHaveUnreadClose() {
-        return mayHaveUnreadClose;
-    }
-
     /** Returns whether a receiver is the one that takes this connection's input now. */
     boolean isReceiving(RequestReceiver candidate) {
         return receiver == candidate;
--- a/proxy/src/main/java/walkpost/proxy/ClientExchange.java
+++ b/proxy/src/main/java/walkpost/proxy/ClientExchange.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.function.LongSupplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -48,8 +49,9 @@
     private final ByteBuf body;
     /** Relays a request body that is too long to be collected; null if {@link #body} is the whole body. */
     private final BodyRelay requestRelay;
+    /** Gives the earliest time at which the client may have written the whole request. */
+    private LongSupplier completionUs;
     private boolean requestComplete;
-    private long arrivedAtUs;
     private long timeoutUs;
     private String id;
     /** Relays a long response body; set from the start of that response to its end. */
@@ -58,15 +60,23 @@
     private boolean keepAlive;
     private boolean released;
 
+    /** Creates the exchange of a request that has been received whole; the exchange releases the body. */
+    static ClientExchange ofReceived(Frontend frontend, ClientConnection connection, HttpRequest head,
+            Frontend.AdmissionRules rulesAtArrival, ByteBuf body) {
+        long completedAtUs = connection.lastReadAtUs();
+        return new ClientExchange(frontend, connection, head, rulesAtArrival, body, null, () -> completedAtUs);
+    }
+
     /**
      * Creates the exchange of a request; {@link #begin} starts it.
      *
      * @param rulesAtArrival the admission rules that were in force when the request's head arrived
      * @param body the whole body, which the exchange releases; empty if there is a relay
      * @param requestRelay the relay of a body that is still arriving, or null
+     * @param completionUs gives the earliest time at which the client may have written the whole request, which never goes back
      */
     ClientExchange(Frontend frontend, ClientConnection connection, HttpRequest head, Frontend.AdmissionRules rulesAtArrival, ByteBuf body,
-            BodyRelay requestRelay) {
+            BodyRelay requestRelay, LongSupplier completionUs) {
         this.frontend = frontend;
         this.connection = connection;
         this.head = head;
@@ -74,7 +84,7 @@
         this.body = body;
         this.requestRelay = requestRelay;
         this.requestComplete = requestRelay == null;
-        this.arrivedAtUs = connection.lastReadAtUs();
+        this.completionUs = completionUs;
     }
 
     /** Hands the request to the proxy, or responds at once if it is a readiness check or is rejected. */
@@ -105,18 +115,21 @@
         requestRelay.add(bytes);
     }
 
-    /** Notes that a long request body is complete; the request's deadline counts from here on. */
-    void requestCompleted(HttpHeaders trailers) {
+    /**
+     * Notes that a long request body is complete.
+     *
+     * @param completedAtUs the earliest time at which its last byte may have been written, from which the request's deadline counts
+     */
+    void requestCompleted(HttpHeaders trailers, long completedAtUs) {
         requestComplete = true;
-        arrivedAtUs = connection.lastReadAtUs();
+        completionUs = () -> completedAtUs;
         requestRelay.complete(trailers);
-        if (id != null) {
-            frontend.balancerDriver.requestFullyReceived(id, deadlineUs());
-        }
     }
 
-    private long deadlineUs() {
-        return Math.min(frontend.latestDeadlineUs(), arrivedAtUs + timeoutUs - Math.min(RESPONSE_MARGIN_US, timeoutUs / 10));
+    @Override
+    public long deadlineUs() {
+        return Math.min(frontend.latestDeadlineUs(),
+                completionUs.getAsLong() + timeoutUs - Math.min(RESPONSE_MARGIN_US, timeoutUs / 10));
     }
 
     /** Validates the request against the admission rules and returns it in the form that the proxy takes. */
@@ -154,7 +167,7 @@
         List<String> keys = uri.parameters().get("k");
         timeoutUs = timeoutUs(requiredHeader(headers, Headers.TIMEOUT));
         return new BalancerDriver.IncomingRequest(requestId, requestClass, tenant, keys == null ? null : keys.get(0),
-                "1".equals(headers.get(Headers.RETRIED)), costUs(headers.get(Headers.COST)), deadlineUs(), requestComplete, rules.limits(),
+                "1".equals(headers.get(Headers.RETRIED)), costUs(headers.get(Headers.COST)), rules.limits(),
                 new ServerConnections.OutgoingRequest(head.method(), target, headers, body, requestRelay));
     }
 
@@ -308,7 +321,7 @@
 
     @Override
     public boolean mayHaveUnreadClose() {
-        return connection.mayHaveUnreadClose();
+        return connection.unreadInput().mayHoldClose();
     }
 
     /** Fails the exchange, because the process is about to end; does nothing if the request is incomplete or its response has started. */
--- a/proxy/src/main/java/walkpost/proxy/RequestReceiver.java
+++ b/proxy/src/main/java/walkpost/proxy/RequestReceiver.java
@@ -19,8 +19,8 @@
     private final ClientConnection connection;
     private final HttpRequest head;
     private final Frontend.AdmissionRules rulesAtArrival;
+    private final BodyArrival bodyArrival;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
-    private long receivedBytes;
     /** Whether the client waits for {@code 100 Continue} before it sends the body. */
     private boolean awaitsContinue;
     private ClientExchange startedExchange;
@@ -30,6 +30,7 @@
         this.connection = connection;
         this.head = head;
         this.rulesAtArrival = frontend.admissionRules();
+        this.bodyArrival = new BodyArrival(HttpUtil.getContentLength(head, -1L), frontend.lagMonitor()::nowUs);
         this.awaitsContinue = HttpUtil.is100ContinueExpected(head);
     }
 
@@ -48,14 +49,14 @@
     void add(HttpContent content) {
         ByteBuf bytes = content.content();
         connection.bodyBytesReceived(bytes.readableBytes());
-        receivedBytes += bytes.readableBytes();
+        bodyArrival.onRead(bytes.readableBytes());
         awaitsContinue &= !bytes.isReadable();
         if (startedExchange == null && bytes.isReadable()
                 && (body.readableBytes() + bytes.readableBytes() > ServerConnections.MAX_BUFFERED_BODY_BYTES
                         || frontend.bufferBudget.isExhausted())) {
             var relay = new BodyRelay(body, this, frontend.bufferBudget);
             body = Unpooled.EMPTY_BUFFER;
-            startedExchange = new ClientExchange(frontend, connection, head, rulesAtArrival, body, relay);
+            startedExchange = new ClientExchange(frontend, connection, head, rulesAtArrival, body, relay, this::earliestCompletionUs);
             connection.startOrQueue(startedExchange);
         }
         if (startedExchange != null) {
@@ -66,9 +67,9 @@
         if (content instanceof LastHttpContent last && connection.isReceiving(this)) {
             connection.requestCompleted();
             if (startedExchange == null) {
-                connection.startOrQueue(new ClientExchange(frontend, connection, head, rulesAtArrival, body, null));
+                connection.startOrQueue(ClientExchange.ofReceived(frontend, connection, head, rulesAtArrival, body));
             } else {
-                startedExchange.requestCompleted(last.trailingHeaders());
+                startedExchange.requestCompleted(last.trailingHeaders(), bodyArrival.earliestCompletionUs(connection.lastReadAtUs()));
             }
         }
     }
@@ -80,7 +81,12 @@
 
     /** Returns the number of bytes of the body that have been read. */
     long receivedBytes() {
-        return receivedBytes;
+        return bodyArrival.receivedBytes();
+    }
+
+    /** Returns the earliest time at which the client may have written the last byte of the request that is still being received. */
+    private long earliestCompletionUs() {
+        return bodyArrival.earliestCompletionUs(connection.unreadInput().earliestArrivalUs());
     }
 
     boolean awaitsContinue() {
--- a/proxy/src/main/java/walkpost/proxy/ServerConnections.java
+++ b/proxy/src/main/java/walkpost/proxy/ServerConnections.java
@@ -64,6 +64,9 @@
 
     /** Is notified of the progress and the outcome of an attempt, on the event loop. */
     interface AttemptListener {
+        /** Returns the request's deadline on the proxy's clock, which may move on while the request is being received. */
+        long deadlineUs();
+
         /** Called when the attempt starts to relay a request body that is still arriving; the server cannot respond until it is sent. */
         void onBodySendingStarted();
 
@@ -77,6 +80,7 @@
         void onEnded(Outcome outcome, long latencyUs, BufferedResponse response);
     }
 
+    private final EventLog log = new EventLog("proxy");
     private final ProxyClock clock;
     private final EventLoop loop;
     private final ConnectionBudget connectionBudget;
@@ -296,16 +300,19 @@
         void start() {
             startedAtUs = clock.nowUs();
             endpoint.activeAttempts.add(this);
-            startTimeout();
+            startTimeout(timeoutUs);
             Promise<Channel> promise = loop.newPromise();
             connecting = endpoint.pool.acquireOrConnect(promise);
             promise.addListener((Future<Channel> acquired) -> onConnection(acquired));
         }
 
-        private void startTimeout() {
+        private void startTimeout(long afterUs) {
+            timer = loop.schedule(this::timedOut, afterUs, TimeUnit.MICROSECONDS);
+        }
+
+        private void timedOut() {
             // Before the last byte is written the request cannot have run; after that it may have, even if no response arrives.
-            timer = loop.schedule(() -> abort(mayHaveRun() ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED), timeoutUs,
-                    TimeUnit.MICROSECONDS);
+            abort(mayHaveRun() ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED);
         }
 
         private void onConnection(Future<Channel> acquired) {
@@ -371,14 +378,15 @@
                 abort(Outcome.CONNECT_FAILED);
             } else if (relayingBody && !ended) {
                 relayingBody = false;
-                startTimeout();
+                timer.cancel(false);
+                startTimeout(Math.min(timeoutUs, listener.deadlineUs() - clock.nowUs()));
                 listener.onBodySent();
             }
         }
 
         /**
-         * Sends the request head and starts to relay the body. No timeout runs meanwhile, because the client determines how long that
-         * takes; the timeout for the response starts when the body is sent.
+         * Sends the request head and starts to relay the body. Meanwhile the attempt may take until the request's deadline, which moves on
+         * as long as the client is what the body waits for; the timeout for the response starts when the body is sent.
          */
         private void startBodyRelay() {
             var request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, outgoing.method(), outgoing.uri());
@@ -391,11 +399,26 @@
             }
             channel.write(request);
             timer.cancel(false);
+            startBodyTimeout();
             relayingBody = true;
             listener.onBodySendingStarted();
             outgoing.relay().relayTo(this);
         }
 
+        private void startBodyTimeout() {
+            timer = loop.schedule(this::checkBodyDeadline, listener.deadlineUs() - clock.nowUs(), TimeUnit.MICROSECONDS);
+        }
+
+        private void checkBodyDeadline() {
+            if (listener.deadlineUs() > clock.nowUs()) {
+                startBodyTimeout();
+            } else {
+                log.warn("body_not_taken", "request", outgoing.headers().get(Headers.REQUEST_ID), "server", endpoint.id,
+                        "after_ms", (clock.nowUs() - startedAtUs) / 1_000);
+                timedOut();
+            }
+        }
+
         @Override
         public Channel channel() {
             return channel;
--- a/proxy/src/test/java/walkpost/proxy/AttemptsTest.java
+++ b/proxy/src/test/java/walkpost/proxy/AttemptsTest.java
@@ -35,6 +35,11 @@
 
     /** Records the outcomes. */
     private final class OutcomeRecorder implements ServerConnections.AttemptListener {
+        @Override
+        public long deadlineUs() {
+            return Long.MAX_VALUE / 2;
+        }
+
         @Override
         public void onBodySendingStarted() { }
 
--- a/proxy/src/test/java/walkpost/proxy/StreamedBodyTest.java
+++ b/proxy/src/test/java/walkpost/proxy/StreamedBodyTest.java
@@ -12,6 +12,7 @@
 import walkpost.Balancer.ResponseStreamStarted;
 import walkpost.Balancer.Send;
 import java.io.IOException;
+import java.time.Duration;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
@@ -21,6 +22,8 @@
 /** Tests bodies that are relayed as they arrive, in the forms that HTTP/1.1 has for them. */
 class StreamedBodyTest {
     private static final String LONG = "0123456789abcdef".repeat(40_000);
+    /** An idle timeout that no test waits for. */
+    private static final long IDLE_US = 60_000_000;
     private static final String HALF = LONG.substring(LONG.length() / 2);
 
     private static String chunked(String body, String trailers) {
@@ -237,6 +240,57 @@
         }
     }
 
+    /** Guards against a request that never gets its answer, because the proxy waits for its server to take more of the body. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aLongRequestIsAnsweredThoughItsServerTakesNoMoreOfItsBody(boolean lengthKnown) throws Exception {
+        String body = LONG.repeat(25);
+        String request = lengthKnown ? ProxyFixture.post("r1", body) : chunkedPost("r1") + chunked(body, "");
+        try (var server = new FakeServer(); var proxy = new ProxyFixture(ProxyFixture.sendTo("s0"), 1_024, IDLE_US, server);
+                var client = proxy.client()) {
+            sendInBackground(client, request.replace("1900m", "300m"));
+            server.accept().readHead();
+            assertThat(client.read().status()).isEqualTo(502);
+            assertThat(proxy.nextEvent(AttemptEnded.class).outcome()).isEqualTo(Outcome.CONNECT_FAILED);
+        }
+    }
+
+    /** Guards against a deadline that counts from when the proxy reads a body's last byte, long after the client has written it. */
+    @Test
+    void theTimeInWhichALongRequestWaitsUnreadCountsForItsDeadline() throws Exception {
+        try (var server = new FakeServer(); var proxy = new ProxyFixture((event, actions) -> {
+            // The first request is sent when the second one arrives.
+            if (event instanceof Arrival a && a.id().equals("r2")) {
+                actions.accept(new Send("r1", "s0", 0));
+            }
+        }, server); var client = proxy.client(); var secondClient = proxy.client()) {
+            client.send(ProxyFixture.post("r1", LONG.substring(0, 200_000)));
+            proxy.nextEvent(Arrival.class);
+            proxy.advanceClock(Duration.ofSeconds(1));
+            secondClient.send(ProxyFixture.get("r2"));
+            RawConnection attempt = server.accept();
+            assertThat(Long.parseLong(attempt.read().header("X-Timeout").replace("u", ""))).isLessThanOrEqualTo(900_000);
+            assertThat(proxy.nextEvent(RequestStreamEnded.class).leftUs()).isLessThanOrEqualTo(900_000);
+            attempt.send(FakeServer.okResponse("made"));
+            assertThat(client.read().body()).isEqualTo("made");
+        }
+    }
+
+    /** Guards against a deadline that passes while the client still sends its body. */
+    @Test
+    void aLongRequestMayTakeLongerThanItsTimeoutToArrive() throws Exception {
+        try (var server = new FakeServer(); var proxy = new ProxyFixture(ProxyFixture.sendTo("s0"), server); var client = proxy.client()) {
+            server.answerAll(FakeServer.okResponse("made"));
+            String request = ProxyFixture.post("r1", LONG).replace("1900m", "300m");
+            int pieceLength = request.length() / 8 + 1;
+            for (int start = 0; start < request.length(); start += pieceLength) {
+                client.send(request.substring(start, Math.min(request.length(), start + pieceLength)));
+                Thread.sleep(100);
+            }
+            assertThat(client.read().body()).isEqualTo("made");
+        }
+    }
+
     @Test
     void sendsContinueToAClientThatExpectsIt() throws Exception {
         try (var server = new FakeServer(); var proxy = new ProxyFixture(ProxyFixture.sendTo("s0"), server); var client = proxy.client()) {
--- /dev/null
+++ b/proxy/src/test/java/walkpost/proxy/UnreadInputTest.java
@@ -0,0 +1,111 @@
+package walkpost.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Checks since when a client's input may be unread, on an event loop and a clock that the test advances. */
+class UnreadInputTest {
+    private static final ByteBuf FULL = Unpooled.wrappedBuffer(new byte[16]);
+    private static final ByteBuf PARTLY_FILLED = Unpooled.buffer(16).writeByte(1);
+
+    private final EmbeddedChannel channel = new EmbeddedChannel();
+    private final AtomicLong timeNs = new AtomicLong();
+    private final ProxyClock clock = new ProxyClock(timeNs::get);
+    private EventLoopLagMonitor lagMonitor;
+    private UnreadInput unreadInput;
+    private long startUs;
+
+    @BeforeEach
+    void setUp() {
+        channel.freezeTime();
+        lagMonitor = new EventLoopLagMonitor(clock, channel.eventLoop());
+        lagMonitor.start();
+        unreadInput = new UnreadInput(lagMonitor, false);
+        startUs = clock.nowUs();
+    }
+
+    /** Advances the time and runs the tasks of the loop that are due, each millisecond. */
+    private void advance(long ms) {
+        for (long i = 0; i < ms; i++) {
+            timeNs.addAndGet(TimeUnit.MILLISECONDS.toNanos(1));
+            channel.advanceTimeBy(1, TimeUnit.MILLISECONDS);
+            channel.runPendingTasks();
+        }
+    }
+
+    private long earliestArrivalMs() {
+        return (unreadInput.earliestArrivalUs() - startUs) / 1_000;
+    }
+
+    @Test
+    void aReadThatDoesNotFillItsBufferLeavesNothingUnread() {
+        unreadInput.onRead(PARTLY_FILLED);
+        unreadInput.onReadComplete();
+        advance(50);
+        assertThat(earliestArrivalMs()).isEqualTo(50);
+    }
+
+    @Test
+    void aPauseLeavesUnreadWhateverArrivesSinceItBegan() {
+        unreadInput.onRead(PARTLY_FILLED);
+        advance(10);
+        unreadInput.onPaused();
+        unreadInput.onReadComplete();
+        advance(500);
+        assertThat(earliestArrivalMs()).isEqualTo(10);
+    }
+
+    /** Guards against a late deadline: the backlog of a pause is read in many turns of the loop. */
+    @Test
+    void theInputOfAPauseIsOldUntilAReadHasTakenInAllOfIt() {
+        unreadInput.onPaused();
+        advance(500);
+        unreadInput.onResumed();
+        assertThat(unreadInput.onRead(FULL)).isEqualTo(startUs);
+        unreadInput.onReadComplete();
+        advance(1);
+        unreadInput.onPaused();
+        advance(100);
+        unreadInput.onResumed();
+        assertThat(unreadInput.onRead(FULL)).isEqualTo(startUs);
+        assertThat(unreadInput.onRead(PARTLY_FILLED)).isEqualTo(startUs);
+        advance(10);
+        assertThat(earliestArrivalMs()).isEqualTo(611);
+    }
+
+    /** Guards against an early deadline: after a pause in which nothing came, the next input is new. */
+    @Test
+    void nothingIsUnreadOnceAPollOfTheSocketsBringsNoFurtherRead() {
+        unreadInput.onPaused();
+        advance(500);
+        unreadInput.onResumed();
+        advance(20);
+        assertThat(earliestArrivalMs()).isEqualTo(520);
+    }
+
+    @Test
+    void aPollDuringAPauseProvesNothing() {
+        unreadInput.onPaused();
+        advance(100);
+        unreadInput.onResumed();
+        unreadInput.onPaused();
+        advance(100);
+        assertThat(earliestArrivalMs()).isZero();
+    }
+
+    @Test
+    void aReadThatFillsItsBufferMayLeaveSomeUnread() {
+        unreadInput.onRead(FULL);
+        assertThat(earliestArrivalMs()).isZero();
+        unreadInput.onReadComplete();
+        advance(20);
+        assertThat(earliestArrivalMs()).isEqualTo(20);
+    }
+}
