Keep the deadline of a short response that is relayed because the buffers are full

Cause: beginStreamedResponse cancels the attempt's timer, whatever the length.

Change: where the length is known to be one that would be buffered, the attempt may last until the request's deadline; then its connection and the client's are closed, so that the client can tell. A long response is as before, as its first bytes are timed.

Result: AttemptsTest.theRestOfAShortResponseThatIsRelayedIsDueByTheDeadline failed before (no outcome for 10 s), and passes.

--- a/proxy/src/main/java/walkpost/proxy/ServerConnections.java
+++ b/proxy/src/main/java/walkpost/proxy/ServerConnections.java
@@ -60,7 +60,12 @@
      * A 200 response whose body is still arriving; {@code length} is -1 if it is unknown. The receiver must read the body to its end or
      * cancel it.
      */
-    record StreamedResponse(HttpHeaders headers, long length, BodyRelay body) { }
+    record StreamedResponse(HttpHeaders headers, long length, BodyRelay body) {
+        /** Returns whether the body is known to be short enough to be buffered, though it is not, because the buffers are full. */
+        boolean isShort() {
+            return length >= 0 && length <= MAX_BUFFERED_BODY_BYTES;
+        }
+    }
 
     /** Is notified of the progress and the outcome of an attempt, on the event loop. */
     interface AttemptListener {
@@ -447,9 +452,15 @@
             }
         }
 
-        /** Reports a response that is relayed: its latency is measured now, and no timeout runs from here on. */
+        /**
+         * Reports a response that is relayed: its latency is measured now. The last byte of a short one is still due by the request's
+         * deadline; no timeout runs for a long one from here on.
+         */
         void beginStreamedResponse(StreamedResponse response) {
             timer.cancel(false);
+            if (response.isShort()) {
+                startTimeout(listener.deadlineUs() - clock.nowUs());
+            }
             responseStartedAtUs = clock.nowUs();
             listener.onStreamedResponse(response);
         }
--- a/proxy/src/test/java/walkpost/proxy/AttemptsTest.java
+++ b/proxy/src/test/java/walkpost/proxy/AttemptsTest.java
@@ -30,6 +30,7 @@
     private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
     private final ProxyClock clock = new ProxyClock();
     private final BlockingQueue<Outcome> outcomes = new LinkedBlockingQueue<>();
+    private volatile long deadlineUs = Long.MAX_VALUE / 2;
     private FakeServer fakeServer;
     private ServerConnections connections;
 
@@ -37,7 +38,7 @@
     private final class OutcomeRecorder implements ServerConnections.AttemptListener {
         @Override
         public long deadlineUs() {
-            return Long.MAX_VALUE / 2;
+            return deadlineUs;
         }
 
         @Override
@@ -109,6 +110,23 @@
         assertThat(FakeServer.takeNext(outcomes)).isEqualTo(Outcome.OK);
     }
 
+    /** Guards against a client that waits for the rest of a short response, relayed because the buffers are full, of a server that hangs. */
+    @Test
+    void theRestOfAShortResponseThatIsRelayedIsDueByTheDeadline() throws Exception {
+        var withoutBuffers = new ServerConnections(clock, loop, NioSocketChannel::new, new ConnectionBudget(1_024), new BufferBudget(0),
+                60_000_000, 1_000_000);
+        deadlineUs = clock.nowUs() + 300_000;
+        loop.submit(() -> {
+            withoutBuffers.applyList(ListKind.FULL, List.of(listedServer("s0", BackendState.READY, fakeServer.port())));
+            withoutBuffers.newAttempt("s0", get("r1"), 300_000, Long.MAX_VALUE, new OutcomeRecorder()).start();
+        }).get();
+        RawConnection connection = fakeServer.accept();
+        connection.read();
+        connection.send("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+        assertThat(FakeServer.takeNext(outcomes)).isEqualTo(Outcome.TIMEOUT);
+        assertThat(connection.awaitClose()).isTrue();
+    }
+
     @Test
     void reportsNotSentIfThisMachineCannotCreateASocket() throws Exception {
         var withoutSockets = new ServerConnections(clock, loop, () -> {
