Give the attempt a file of its own, out of ServerConnections

Need: ServerConnections had grown to 500 lines and two jobs, the servers' connections and the course of one attempt.

Endpoint offers id, acquireConnection, onAttemptStarted and onAttemptEnded in place of its fields. No change of behaviour.

--- a/proxy/src/main/java/walkpost/proxy/BalancerDriver.java
+++ b/proxy/src/main/java/walkpost/proxy/BalancerDriver.java
@@ -63,7 +63,7 @@
         private final IncomingRequest incoming;
         private final Responder responder;
         /** The attempts by number; null where an attempt was never sent. */
-        private final List<ServerConnections.Attempt> attempts = new ArrayList<>(2);
+        private final List<Attempt> attempts = new ArrayList<>(2);
         private int attemptsInFlight;
         /** The number of attempts that the balancer has ordered and that have not begun yet. */
         private int attemptsPending;
@@ -180,7 +180,7 @@
 
     /** Applies an update of the server list; {@link Balancer.ListKind#FAILED} reports a call to discovery that brought none. */
     void updateServerList(Balancer.ListKind kind, List<ServerConnections.ListedServer> listed) {
-        List<ServerConnections.Attempt> unsent = kind == Balancer.ListKind.FAILED ? List.of() : serverConnections.applyList(kind, listed);
+        List<Attempt> unsent = kind == Balancer.ListKind.FAILED ? List.of() : serverConnections.applyList(kind, listed);
         deliver(new Balancer.ListUpdate(kind, listed.stream().map(ServerConnections.ListedServer::backend).toList()));
         // The balancer knows the new list by now, so it retries these attempts on other servers.
         unsent.forEach(attempt -> attempt.abort(Outcome.NOT_SENT));
@@ -198,7 +198,7 @@
 
     /** Takes a server out of use, on an operator's order. */
     void excludeServer(String serverId) {
-        List<ServerConnections.Attempt> unsent = serverConnections.exclude(serverId);
+        List<Attempt> unsent = serverConnections.exclude(serverId);
         deliver(new Balancer.Excluded(serverId));
         unsent.forEach(attempt -> attempt.abort(Outcome.NOT_SENT));
     }
@@ -340,7 +340,7 @@
             answerIfOpen(fail.id(), Responder::fail);
         } else if (action instanceof Balancer.Cancel cancel) {
             Request request = requests.get(cancel.id());
-            ServerConnections.Attempt attempt = request == null || cancel.attempt() >= request.attempts.size() ? null
+            Attempt attempt = request == null || cancel.attempt() >= request.attempts.size() ? null
                     : request.attempts.get(cancel.attempt());
             if (attempt != null && request.incoming.limits().cancel()) {
                 attempt.abort(Outcome.CANCELLED);
@@ -399,7 +399,7 @@
             clientDisconnected(send.id());
         }
         request.attemptsPending--;
-        ServerConnections.Attempt attempt = request.finished ? null : createAttempt(request, number, send);
+        Attempt attempt = request.finished ? null : createAttempt(request, number, send);
         request.attempts.set(number, attempt);
         if (attempt == null) {
             deliver(new Balancer.AttemptEnded(send.id(), number, send.backend(), Outcome.NOT_SENT, 0, request.finished));
@@ -411,7 +411,7 @@
     }
 
     /** Returns an attempt that may be started, or null if the limits, the time left or the server don't allow one. */
-    private ServerConnections.Attempt createAttempt(Request request, int number, Balancer.Send send) {
+    private Attempt createAttempt(Request request, int number, Balancer.Send send) {
         long leftUs = leftUs(request);
         long timeoutUs = send.timeoutUs() == 0 ? leftUs : Math.min(send.timeoutUs(), leftUs);
         Balancer.Limits limits = request.incoming.limits();
--- a/proxy/src/main/java/walkpost/proxy/ServerConnectionHandler.java
+++ b/proxy/src/main/java/walkpost/proxy/ServerConnectionHandler.java
@@ -27,7 +27,7 @@
     private final BufferBudget bufferBudget;
     private final ServerResponseDecoder decoder = new ServerResponseDecoder(this::isResponseExpected);
     private Channel channel;
-    private ServerConnections.Attempt attempt;
+    private Attempt attempt;
     /** The head of the current response; null until it has been read. */
     private HttpResponse responseHead;
     /** The part of the body read so far, if the body is buffered and not relayed. */
@@ -56,7 +56,7 @@
     }
 
     /** Assigns the attempt that the next response on this connection belongs to. */
-    void assign(ServerConnections.Attempt next) {
+    void assign(Attempt next) {
         attempt = next;
     }
 
@@ -160,7 +160,7 @@
         if (!responseDone || attempt == null) {
             return;
         }
-        ServerConnections.Attempt finishedAttempt = attempt;
+        Attempt finishedAttempt = attempt;
         Outcome outcome = outcome();
         HttpHeaders headers = responseHead.headers();
         ByteBuf wholeBody = bufferedBody;
@@ -239,7 +239,7 @@
     public void channelInactive(ChannelHandlerContext ctx) throws Exception {
         endpoint.onConnectionClosed(channel);
         deliverResponse();
-        ServerConnections.Attempt interruptedAttempt = attempt;
+        Attempt interruptedAttempt = attempt;
         BodyRelay interruptedRelay = relay;
         bufferBudget.release(bufferedBody.readableBytes());
         bufferedBody.release();
--- a/proxy/src/main/java/walkpost/proxy/ServerConnections.java
+++ b/proxy/src/main/java/walkpost/proxy/ServerConnections.java
@@ -6,25 +6,15 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.ChannelOutboundBuffer;
-import io.netty.channel.ChannelPromise;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.DuplexChannelConfig;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.DefaultHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.timeout.IdleStateHandler;
-import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.Promise;
 import java.net.SocketAddress;
 import java.util.ArrayList;
@@ -85,7 +75,6 @@
         void onEnded(Outcome outcome, long latencyUs, BufferedResponse response);
     }
 
-    private final EventLog log = new EventLog("proxy");
     private final ProxyClock clock;
     private final EventLoop loop;
     private final ConnectionBudget connectionBudget;
@@ -208,7 +197,7 @@
                 || outgoing.relay() != null && !outgoing.relay().isReplayable()) {
             return null;
         }
-        return new Attempt(endpoint, outgoing, timeoutUs, sendByUs, listener);
+        return new Attempt(clock, loop, endpoint, outgoing, timeoutUs, sendByUs, listener);
     }
 
     /** One server at one address: its connections and the attempts in progress. */
@@ -227,6 +216,23 @@
                     new IdleConnections(clock::nowUs, connectionBudget), () -> idleUs);
         }
 
+        String id() {
+            return id;
+        }
+
+        /** Takes an idle connection or opens one; the promise is completed with it. Returns the connection being opened, or null. */
+        ChannelFuture acquireConnection(Promise<Channel> promise) {
+            return pool.acquireOrConnect(promise);
+        }
+
+        void onAttemptStarted(Attempt attempt) {
+            activeAttempts.add(attempt);
+        }
+
+        void onAttemptEnded(Attempt attempt) {
+            activeAttempts.remove(attempt);
+        }
+
         private void setUpConnection(Channel channel) {
             connectionBudget.serverConnectionOpened(channel);
             if (channel.config() instanceof DuplexChannelConfig config) {
@@ -271,232 +277,7 @@
          */
         List<Attempt> stopSending() {
             pool.closeIdle();
-            return activeAttempts.stream().filter(attempt -> !attempt.mayHaveRun() && !attempt.relayingBody).toList();
-        }
-    }
-
-    /** One attempt to have a request served, from acquiring a connection to its outcome. */
-    final class Attempt implements BodyRelay.Sink {
-        private final Endpoint endpoint;
-        private final OutgoingRequest outgoing;
-        private final long timeoutUs;
-        private final long sendByUs;
-        private final AttemptListener listener;
-        private long startedAtUs;
-        /** The time at which a relayed response started, on the proxy's clock; 0 if none has. */
-        private long responseStartedAtUs;
-        private Future<?> timer;
-        private ChannelFuture connecting;
-        private Channel channel;
-        /** True while a request body that still arrives from the client is relayed to the server. */
-        private boolean relayingBody;
-        /** Completes when the last byte of the request is written; null before that write begins. */
-        private ChannelPromise lastWrite;
-        private boolean ended;
-
-        private Attempt(Endpoint endpoint, OutgoingRequest outgoing, long timeoutUs, long sendByUs, AttemptListener listener) {
-            this.endpoint = endpoint;
-            this.outgoing = outgoing;
-            this.timeoutUs = timeoutUs;
-            this.sendByUs = sendByUs;
-            this.listener = listener;
-        }
-
-        void start() {
-            startedAtUs = clock.nowUs();
-            endpoint.activeAttempts.add(this);
-            startTimeout(timeoutUs);
-            Promise<Channel> promise = loop.newPromise();
-            connecting = endpoint.pool.acquireOrConnect(promise);
-            promise.addListener((Future<Channel> acquired) -> onConnection(acquired));
-        }
-
-        private void startTimeout(long afterUs) {
-            timer = loop.schedule(this::timedOut, afterUs, TimeUnit.MICROSECONDS);
-        }
-
-        private void timedOut() {
-            // Before the last byte is written the request cannot have run; after that it may have, even if no response arrives.
-            abort(mayHaveRun() ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED);
-        }
-
-        private void onConnection(Future<Channel> acquired) {
-            connecting = null;
-            if (!acquired.isSuccess()) {
-                // A ChannelException means that this machine could not create a socket, which says nothing about the server.
-                end(acquired.cause() instanceof ChannelException ? Outcome.NOT_SENT : Outcome.CONNECT_FAILED, null);
-            } else if (ended || !endpoint.acceptsAttempts() || clock.nowUs() > sendByUs) {
-                // The connection was established too late for this attempt, but another attempt may use it.
-                endpoint.returnToPool(acquired.getNow());
-                end(Outcome.NOT_SENT, null);
-            } else {
-                channel = acquired.getNow();
-                try {
-                    writeRequest();
-                } catch (RuntimeException e) {
-                    // A request that cannot be encoded has not been sent; the failure must not affect other requests.
-                    abort(mayHaveRun() ? Outcome.ERROR : Outcome.NOT_SENT);
-                }
-            }
-        }
-
-        private void writeRequest() {
-            channel.pipeline().get(ServerConnectionHandler.class).assign(this);
-            if (outgoing.relay() != null) {
-                startBodyRelay();
-                return;
-            }
-            var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, outgoing.method(), outgoing.uri(),
-                    outgoing.body().retainedDuplicate());
-            copyHeaders(request);
-            if (!outgoing.method().equals(HttpMethod.GET) || request.content().isReadable()) {
-                HttpUtil.setContentLength(request, request.content().readableBytes());
-            }
-            writeLast(request);
-        }
-
-        private void writeLast(Object message) {
-            lastWrite = channel.newPromise();
-            channel.writeAndFlush(message, lastWrite);
-            lastWrite.addListener(this::onLastWritten);
-        }
-
-        /**
-         * Returns whether the last byte of the request may have left this machine, so that the server may have run it. Netty may delay the
-         * listeners of a completed write, so the outbound buffer is checked as well.
-         */
-        boolean mayHaveRun() {
-            if (lastWrite == null || lastWrite.isDone()) {
-                return lastWrite != null && lastWrite.isSuccess();
-            }
-            ChannelOutboundBuffer unwritten = channel.unsafe().outboundBuffer();
-            return unwritten == null || unwritten.isEmpty();
-        }
-
-        private void copyHeaders(HttpRequest request) {
-            Headers.copyEndToEnd(outgoing.headers(), request.headers());
-            request.headers().set(Headers.TIMEOUT, Math.max(1, startedAtUs + timeoutUs - clock.nowUs()) + "u");
-        }
-
-        private void onLastWritten(Future<?> write) {
-            if (!write.isSuccess()) {
-                abort(Outcome.CONNECT_FAILED);
-            } else if (relayingBody && !ended) {
-                relayingBody = false;
-                timer.cancel(false);
-                startTimeout(Math.min(timeoutUs, listener.deadlineUs() - clock.nowUs()));
-                listener.onBodySent();
-            }
-        }
-
-        /**
-         * Sends the request head and starts to relay the body. Meanwhile the attempt may take until the request's deadline, which moves on
-         * as long as the client is what the body waits for; the timeout for the response starts when the body is sent.
-         */
-        private void startBodyRelay() {
-            var request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, outgoing.method(), outgoing.uri());
-            copyHeaders(request);
-            String length = outgoing.headers().get(HttpHeaderNames.CONTENT_LENGTH);
-            if (length == null) {
-                HttpUtil.setTransferEncodingChunked(request, true);
-            } else {
-                request.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
-            }
-            channel.write(request);
-            timer.cancel(false);
-            startBodyTimeout();
-            relayingBody = true;
-            listener.onBodySendingStarted();
-            outgoing.relay().relayTo(this);
-        }
-
-        private void startBodyTimeout() {
-            timer = loop.schedule(this::checkBodyDeadline, listener.deadlineUs() - clock.nowUs(), TimeUnit.MICROSECONDS);
-        }
-
-        private void checkBodyDeadline() {
-            if (listener.deadlineUs() > clock.nowUs()) {
-                startBodyTimeout();
-            } else {
-                log.warn("body_not_taken", "request", outgoing.headers().get(Headers.REQUEST_ID), "server", endpoint.id,
-                        "after_ms", (clock.nowUs() - startedAtUs) / 1_000);
-                timedOut();
-            }
-        }
-
-        @Override
-        public Channel channel() {
-            return channel;
-        }
-
-        @Override
-        public void bodyCompleted(HttpHeaders trailers) {
-            writeLast(Headers.lastContent(trailers));
-        }
-
-        @Override
-        public void bodyAborted() {
-            // The client broke off its body, so the server has not received a complete request.
-            abort(Outcome.NOT_SENT);
-        }
-
-        /** Returns whether a request body is being relayed and the connection to the server is not writable. */
-        boolean isSendBlocked() {
-            return relayingBody && !channel.isWritable();
-        }
-
-        /** Continues a relayed request body after the connection's writability has changed. */
-        void resumeSending() {
-            if (relayingBody) {
-                outgoing.relay().transfer();
-            }
-        }
-
-        /**
-         * Reports a response that is relayed: its latency is measured now. The last byte of a short one is still due by the request's
-         * deadline; no timeout runs for a long one from here on.
-         */
-        void beginStreamedResponse(StreamedResponse response) {
-            timer.cancel(false);
-            if (response.isShort()) {
-                startTimeout(listener.deadlineUs() - clock.nowUs());
-            }
-            responseStartedAtUs = clock.nowUs();
-            listener.onStreamedResponse(response);
-        }
-
-        /** Ends the attempt from this side. Its connection is closed first, so that no other attempt is sent while this one is open. */
-        void abort(Outcome outcome) {
-            if (ended) {
-                return;
-            }
-            ended = true;
-            if (channel != null) {
-                channel.close();
-            } else if (connecting != null) {
-                Channels.close(connecting.channel());
-            }
-            report(outcome, null);
-        }
-
-        /** Ends the attempt with the outcome seen on its connection. */
-        void end(Outcome outcome, BufferedResponse response) {
-            if (!ended) {
-                ended = true;
-                report(outcome, response);
-            } else if (response != null) {
-                response.body().release();
-            }
-        }
-
-        private void report(Outcome outcome, BufferedResponse response) {
-            timer.cancel(false);
-            endpoint.activeAttempts.remove(this);
-            if (relayingBody) {
-                relayingBody = false;
-                outgoing.relay().detachSink();
-            }
-            listener.onEnded(outcome, (responseStartedAtUs > 0 ? responseStartedAtUs : clock.nowUs()) - startedAtUs, response);
+            return activeAttempts.stream().filter(attempt -> !attempt.mayHaveRun() && !attempt.isRelayingBody()).toList();
         }
     }
 }
--- a/proxy/src/test/java/walkpost/proxy/AttemptsTest.java
+++ b/proxy/src/test/java/walkpost/proxy/AttemptsTest.java
@@ -74,7 +74,7 @@
         fakeServer.close();
     }
 
-    private List<ServerConnections.Attempt> listServer(BackendState state) {
+    private List<Attempt> listServer(BackendState state) {
         return connections.applyList(ListKind.FULL, List.of(listedServer("s0", state, fakeServer.port())));
     }
 
@@ -88,12 +88,12 @@
                 Unpooled.EMPTY_BUFFER, null);
     }
 
-    private ServerConnections.Attempt start(String id, long sendByUs) {
+    private Attempt start(String id, long sendByUs) {
         return start("s0", id, sendByUs);
     }
 
-    private ServerConnections.Attempt start(String server, String id, long sendByUs) {
-        ServerConnections.Attempt attempt = connections.newAttempt(server, get(id), 5_000_000, sendByUs, new OutcomeRecorder());
+    private Attempt start(String server, String id, long sendByUs) {
+        Attempt attempt = connections.newAttempt(server, get(id), 5_000_000, sendByUs, new OutcomeRecorder());
         attempt.start();
         return attempt;
     }
@@ -147,7 +147,7 @@
         rawConnection.read();
         rawConnection.send(FakeServer.okResponse("x"));
         assertThat(FakeServer.takeNext(outcomes)).isEqualTo(Outcome.OK);
-        var unsent = new ArrayList<ServerConnections.Attempt>();
+        var unsent = new ArrayList<Attempt>();
         loop.submit(() -> nest(depth, () -> {
             start("r2", Long.MAX_VALUE);
             unsent.addAll(listServer(BackendState.DRAINING));
@@ -162,7 +162,7 @@
     @ValueSource(strings = {"cancelled", "drained", "moved", "gone", "out and back"})
     void writesNothingOnAConnectionEstablishedTooLate(String meanwhile) throws Exception {
         loop.submit(() -> {
-            ServerConnections.Attempt attempt = start("r1", Long.MAX_VALUE);
+            Attempt attempt = start("r1", Long.MAX_VALUE);
             // Netty connects in a task of its own, which runs before this one.
             loop.execute(() -> stop(attempt, meanwhile));
         }).get();
@@ -170,8 +170,8 @@
         assertThat(fakeServer.accept().awaitClose()).isTrue();
     }
 
-    private void stop(ServerConnections.Attempt attempt, String cause) {
-        List<ServerConnections.Attempt> unsent = switch (cause) {
+    private void stop(Attempt attempt, String cause) {
+        List<Attempt> unsent = switch (cause) {
             case "cancelled" -> List.of(attempt);
             case "drained" -> listServer(BackendState.DRAINING);
             case "moved" -> connections.applyList(ListKind.DELTA, List.of(listedServer("s0", BackendState.READY, 1)));
