Force the order of attempts in the test of the hand-over to the next process

By reading: where the proxy reads the first answer before the second request, the second attempt goes over the connection that the first one has freed, and the test waits for a new one. Not reproduced here.

Change: the test waits for the second attempt before it answers the first. All its checks are as before; the second attempt is now bound to come before the first answer.

--- a/proxy/src/test/java/walkpost/proxy/UpgradeTest.java
+++ b/proxy/src/test/java/walkpost/proxy/UpgradeTest.java
@@ -67,14 +67,15 @@
                 Thread.onSpinWait();
             }
             idle.send(ProxyFixture.get("r2"));
+            // The second attempt goes over a connection of its own, because the first one is still waiting on the other.
+            RawConnection second = server.accept();
+            second.read();
             attempt.send(FakeServer.okResponse("one"));
             RawConnection.Message answer = busy.read();
             assertThat(answer.body()).isEqualTo("one");
             assertThat(answer.header("Connection")).isEqualTo("close");
             assertThat(busy.awaitClose()).isTrue();
             assertThat(drained).isNotDone();
-            RawConnection second = server.accept();
-            second.read();
             second.send(FakeServer.okResponse("two"));
             assertThat(idle.read().body()).isEqualTo("two");
             assertThat(idle.awaitClose()).isTrue();
