Answer a long request that is unread in part before the process ends

What callers would see: a request with a longer deadline than a shutdown lasts, whose body waits unread for a server, has its connection closed with no answer at the end.

Cause: ClientExchange.failNow left out requests that had not been read to their end, as if their clients still wrote; with reading paused they may have been written whole, and are owed an answer.

Change: each exchange without a response is failed. A client that is still writing gets the 502 in place of a bare close.

--- a/proxy/src/main/java/walkpost/proxy/ClientExchange.java
+++ b/proxy/src/main/java/walkpost/proxy/ClientExchange.java
@@ -324,9 +324,12 @@
         return connection.unreadInput().mayHoldClose();
     }
 
-    /** Fails the exchange, because the process is about to end; does nothing if the request is incomplete or its response has started. */
+    /**
+     * Fails the exchange, because the process is about to end; does nothing if its response has started. A request that has not been read
+     * to its end is failed as well, because its client may have written it whole.
+     */
     void failNow() {
-        if (requestComplete && responseRelay == null) {
+        if (responseRelay == null) {
             fail();
             if (id != null) {
                 frontend.balancerDriver.clientDisconnected(id);
--- a/proxy/src/test/java/walkpost/proxy/ShutdownTest.java
+++ b/proxy/src/test/java/walkpost/proxy/ShutdownTest.java
@@ -85,6 +85,17 @@
         }
     }
 
+    /** Guards against an end without an answer to a request that is written whole, but unread in part as its body waits for a server. */
+    @Test
+    void answersAPartlyUnreadRequestBeforeTheEnd() throws Exception {
+        try (var proxy = new ProxyFixture((event, actions) -> { }); var client = proxy.client()) {
+            client.send(ProxyFixture.post("r1", "x".repeat(200_000)).replace("1900m", "60000m"));
+            proxy.nextEvent(Arrival.class);
+            proxy.drain();
+            assertThat(client.read().status()).isEqualTo(502);
+        }
+    }
+
     /** A proxy that is told to end before it listens never listens. */
     @Test
     void doesNotListenAfterAShutdown() throws Exception {
