Let a due attempt time out before the safety timer where the deadline has moved on

The client had its answer in time, but 502 in place of 503, and nothing was counted against the server.

Cause: the safety timer was armed for the deadline as it stood at the arrival, the attempt's for the later one at its start. Where the loop stood still past both, the safety timer came first, found the moved deadline passed as well and failed the request.

Change: a safety timer whose deadline has moved on since it was armed is armed again, even if that has passed, so the attempt's is due before it.

--- a/proxy/src/main/java/walkpost/proxy/BalancerDriver.java
+++ b/proxy/src/main/java/walkpost/proxy/BalancerDriver.java
@@ -151,7 +151,9 @@
     }
 
     private void startSafetyTimer(Request request) {
-        request.safetyTimer = loop.schedule(() -> failIfOverdue(request), leftUs(request) + SAFETY_DELAY_US, TimeUnit.MICROSECONDS);
+        long deadlineUs = request.responder.deadlineUs();
+        request.safetyTimer = loop.schedule(() -> failIfOverdue(request, deadlineUs), deadlineUs + SAFETY_DELAY_US - clock.nowUs(),
+                TimeUnit.MICROSECONDS);
     }
 
     /** Ends a request whose client has closed its connection before it had an answer. */
@@ -166,10 +168,10 @@
 
     /**
      * Fails a request that the balancer has not answered, so that every client gets an answer in time; waits again if the deadline has
-     * moved on while the request was being received.
+     * moved on while the request was being received, even if it has passed since, so that a due timeout of an attempt comes first.
      */
-    private void failIfOverdue(Request request) {
-        if (!request.finished && leftUs(request) > 0) {
+    private void failIfOverdue(Request request, long expectedDeadlineUs) {
+        if (!request.finished && request.responder.deadlineUs() > expectedDeadlineUs) {
             startSafetyTimer(request);
         } else if (!request.finished) {
             answer(request, Responder::fail);
