Force the order in which the timers of a body that is not taken come due

Change: StreamedBodyTest.anAttemptWhoseBodyIsNotTakenTimesOutBeforeTheSafetyTimer moves the deadline on between the two timers and lets the loop stand still past both.

--- a/proxy/src/test/java/walkpost/proxy/StreamedBodyTest.java
+++ b/proxy/src/test/java/walkpost/proxy/StreamedBodyTest.java
@@ -11,10 +11,14 @@
 import walkpost.Balancer.RequestStreamStarted;
 import walkpost.Balancer.ResponseStreamStarted;
 import walkpost.Balancer.Send;
+import walkpost.Balancer.SetTimer;
+import walkpost.Balancer.TimerFired;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -255,6 +259,31 @@
         }
     }
 
+    /** Guards against a failure that is not counted against the server, because the loop stood still past both timers of the request. */
+    @Test
+    void anAttemptWhoseBodyIsNotTakenTimesOutBeforeTheSafetyTimer() throws Exception {
+        try (var server = new FakeServer(); var proxy = new ProxyFixture((event, actions) -> {
+            if (event instanceof Arrival) {
+                actions.accept(new SetTimer(inMs(300), "send"));
+                actions.accept(new SetTimer(inMs(1_500), "stand still"));
+            } else if (event instanceof TimerFired timer && timer.token().equals("send")) {
+                actions.accept(new Send("r1", "s0", 0));
+            } else if (event instanceof TimerFired) {
+                LockSupport.parkNanos(Duration.ofMillis(1_500).toNanos());
+            }
+        }, 1_024, IDLE_US, server); var client = proxy.client()) {
+            String request = ProxyFixture.post("r1", LONG.repeat(25));
+            client.send(request.substring(0, 100_000));
+            proxy.nextEvent(RequestStreamStarted.class);
+            sendInBackground(client, request.substring(100_000));
+            assertThat(proxy.nextEvent(AttemptEnded.class).outcome()).isEqualTo(Outcome.CONNECT_FAILED);
+        }
+    }
+
+    private static long inMs(long ms) {
+        return TimeUnit.MILLISECONDS.toMicros(System.currentTimeMillis() + ms);
+    }
+
     /** Guards against a deadline that counts from when the proxy reads a body's last byte, long after the client has written it. */
     @Test
     void theTimeInWhichALongRequestWaitsUnreadCountsForItsDeadline() throws Exception {
