Bound the arrival of relayed bodies alone, and say in comments what holds since

Change: BodyArrival is made when a body begins to be relayed, not for each request, most of which have none. UnreadInputTest and AcceptQueueMonitorTest share SimulatedLoop in place of a loop and a clock each; their checks are as before.

No change of behaviour is meant; the price of the object was not measured.

--- a/proxy/src/main/java/walkpost/Balancer.java
+++ b/proxy/src/main/java/walkpost/Balancer.java
@@ -155,10 +155,10 @@
     record Arrival(String id, String requestClass, String tenant, String key, long leftUs, boolean repeat, long costUs)
             implements Event { }
 
-    /** An attempt is streaming a request that its client is still sending: no answer is due until it has been sent in full. */
+    /** An attempt is streaming a request that its client may still be sending: its server cannot answer before it has been sent in full. */
     record RequestStreamStarted(String id, int attempt) implements Event { }
 
-    /** A streamed request has been sent in full: its time starts now, and {@code leftUs} is left until the client's deadline. */
+    /** A streamed request has been sent in full: its server can answer from now on, and {@code leftUs} is left until the deadline. */
     record RequestStreamEnded(String id, int attempt, long leftUs) implements Event { }
 
     /** An attempt's response has begun to stream to the client: it is the final answer from here on, even if the stream breaks off. */
--- a/proxy/src/main/java/walkpost/proxy/Attempt.java
+++ b/proxy/src/main/java/walkpost/proxy/Attempt.java
@@ -20,7 +20,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * One attempt to have a request served, from acquiring a connection to its outcome. Never retries. Used on the event loop only.
+ * One attempt to have a request served, from acquiring a connection to its outcome. It never retries: each attempt is one that the balancer
+ * requested. Used on the event loop only.
  */
 final class Attempt implements BodyRelay.Sink {
     private static final EventLog LOG = new EventLog("proxy");
@@ -164,6 +165,7 @@
         outgoing.relay().relayTo(this);
     }
 
+    /** Ends the attempt at the request's deadline, unless that moves on while the body is relayed. */
     private void startBodyTimeout() {
         timer = loop.schedule(this::checkBodyDeadline, listener.deadlineUs() - clock.nowUs(), TimeUnit.MICROSECONDS);
     }
--- a/proxy/src/main/java/walkpost/proxy/ClientConnection.java
+++ b/proxy/src/main/java/walkpost/proxy/ClientConnection.java
@@ -171,11 +171,12 @@
      * waits for {@code 100 Continue}.
      */
     private void bodyPeriodElapsed() {
-        if (!channel.config().isAutoRead() && bodyBytesInPeriod == 0) {
+        boolean paused = !channel.config().isAutoRead();
+        if (paused && bodyBytesInPeriod == 0) {
             frontend.log.warn("body_blocked", "request", receiver.requestId(), "received_bytes", receiver.receivedBytes(),
                     "blocked_ms", (frontend.lagMonitor().nowUs() - lastReadAtUs) / 1_000);
         }
-        if (bodyBytesInPeriod >= MIN_BODY_BYTES_PER_PERIOD || !channel.config().isAutoRead() || receiver.awaitsContinue()) {
+        if (bodyBytesInPeriod >= MIN_BODY_BYTES_PER_PERIOD || paused || receiver.awaitsContinue()) {
             startBodyTimer();
         } else {
             abandonIncompleteRequest();
--- a/proxy/src/main/java/walkpost/proxy/RequestReceiver.java
+++ b/proxy/src/main/java/walkpost/proxy/RequestReceiver.java
@@ -19,18 +19,18 @@
     private final ClientConnection connection;
     private final HttpRequest head;
     private final Frontend.AdmissionRules rulesAtArrival;
-    private final BodyArrival bodyArrival;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
     /** Whether the client waits for {@code 100 Continue} before it sends the body. */
     private boolean awaitsContinue;
     private ClientExchange startedExchange;
+    /** Bounds when the client has written the body; set together with {@link #startedExchange}. */
+    private BodyArrival bodyArrival;
 
     RequestReceiver(Frontend frontend, ClientConnection connection, HttpRequest head) {
         this.frontend = frontend;
         this.connection = connection;
         this.head = head;
         this.rulesAtArrival = frontend.admissionRules();
-        this.bodyArrival = new BodyArrival(HttpUtil.getContentLength(head, -1L), frontend.lagMonitor()::nowUs);
         this.awaitsContinue = HttpUtil.is100ContinueExpected(head);
     }
 
@@ -49,17 +49,14 @@
     void add(HttpContent content) {
         ByteBuf bytes = content.content();
         connection.bodyBytesReceived(bytes.readableBytes());
-        bodyArrival.onRead(bytes.readableBytes());
         awaitsContinue &= !bytes.isReadable();
         if (startedExchange == null && bytes.isReadable()
                 && (body.readableBytes() + bytes.readableBytes() > ServerConnections.MAX_BUFFERED_BODY_BYTES
                         || frontend.bufferBudget.isExhausted())) {
-            var relay = new BodyRelay(body, this, frontend.bufferBudget);
-            body = Unpooled.EMPTY_BUFFER;
-            startedExchange = new ClientExchange(frontend, connection, head, rulesAtArrival, body, relay, this::earliestCompletionUs);
-            connection.startOrQueue(startedExchange);
+            startRelaying();
         }
         if (startedExchange != null) {
+            bodyArrival.onRead(bytes.readableBytes());
             startedExchange.relayRequestBody(bytes.retain());
         } else {
             body = Headers.appendBody(body, bytes, connection.channel().alloc(), frontend.bufferBudget);
@@ -74,12 +71,22 @@
         }
     }
 
+    /** Starts the exchange, with the bytes collected so far as the start of the body. */
+    private void startRelaying() {
+        bodyArrival = new BodyArrival(HttpUtil.getContentLength(head, -1L), frontend.lagMonitor()::nowUs);
+        bodyArrival.onRead(body.readableBytes());
+        var relay = new BodyRelay(body, this, frontend.bufferBudget);
+        body = Unpooled.EMPTY_BUFFER;
+        startedExchange = new ClientExchange(frontend, connection, head, rulesAtArrival, body, relay, this::earliestCompletionUs);
+        connection.startOrQueue(startedExchange);
+    }
+
     /** Returns the request's id, or null if the client has given none. */
     String requestId() {
         return head.headers().get(Headers.REQUEST_ID);
     }
 
-    /** Returns the number of bytes of the body that have been read. */
+    /** Returns the number of bytes of a relayed body that have been read. */
     long receivedBytes() {
         return bodyArrival.receivedBytes();
     }
--- a/proxy/src/main/java/walkpost/proxy/ServerConnections.java
+++ b/proxy/src/main/java/walkpost/proxy/ServerConnections.java
@@ -27,8 +27,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Manages the connections to the servers and runs the attempts sent over them. A connection carries one attempt at a time. This class
- * never retries: each attempt is one that the balancer requested. Used on the event loop only.
+ * Manages the servers on discovery's list, the connections to them and which {@link Attempt}s may be sent over these. A connection carries
+ * one attempt at a time. Used on the event loop only.
  */
 final class ServerConnections {
     /** A body up to this size is buffered whole; a longer one is relayed. */
--- a/proxy/src/test/java/walkpost/proxy/AcceptQueueMonitorTest.java
+++ b/proxy/src/test/java/walkpost/proxy/AcceptQueueMonitorTest.java
@@ -2,19 +2,16 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.netty.channel.embedded.EmbeddedChannel;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
 /** Tests which accepted clients count as having waited in the accept queue, on a clock and an event loop that the test controls. */
 class AcceptQueueMonitorTest {
-    private final EmbeddedChannel loop = new EmbeddedChannel();
+    private final SimulatedLoop loop = new SimulatedLoop();
     private final List<Boolean> acceptingCalls = new ArrayList<>();
-    private long nowNs;
-    private final EventLoopLagMonitor lagMonitor = new EventLoopLagMonitor(new ProxyClock(() -> nowNs), loop.eventLoop());
-    private final AcceptQueueMonitor acceptQueue = new AcceptQueueMonitor(lagMonitor, new ClientListener() {
+    private boolean mayHaveWaited;
+    private final AcceptQueueMonitor acceptQueue = new AcceptQueueMonitor(loop.lagMonitor, new ClientListener() {
         @Override
         public void setAccepting(boolean on) {
             acceptingCalls.add(on);
@@ -26,19 +23,11 @@
         }
     });
 
-    AcceptQueueMonitorTest() {
-        loop.freezeTime();
-        lagMonitor.start();
-    }
-
     /** Runs the event loop for a number of turns of 1 ms; returns whether the client accepted in the last turn may have waited. */
     private boolean runTurns(int turns, boolean acceptInEach) {
-        boolean mayHaveWaited = false;
+        mayHaveWaited = false;
         for (int i = 0; i < turns; i++) {
-            nowNs += 1_000_000;
-            mayHaveWaited = acceptInEach && acceptQueue.accepted();
-            loop.advanceTimeBy(1, TimeUnit.MILLISECONDS);
-            loop.runPendingTasks();
+            loop.runTurn(() -> mayHaveWaited = acceptInEach && acceptQueue.accepted());
         }
         return mayHaveWaited;
     }
@@ -78,7 +67,7 @@
     @Test
     void aClientThatArrivedWhileTheLoopLaggedHasWaited() {
         runTurns(1, true);
-        nowNs += 100_000_000;
+        loop.standStill(100);
         assertThat(acceptQueue.accepted()).isTrue();
         assertThat(runTurns(15, true)).isTrue();
     }
--- a/proxy/src/test/java/walkpost/proxy/UnreadInputTest.java
+++ b/proxy/src/test/java/walkpost/proxy/UnreadInputTest.java
@@ -4,10 +4,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.embedded.EmbeddedChannel;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /** Checks since when a client's input may be unread, on an event loop and a clock that the test advances. */
@@ -15,28 +11,14 @@
     private static final ByteBuf FULL = Unpooled.wrappedBuffer(new byte[16]);
     private static final ByteBuf PARTLY_FILLED = Unpooled.buffer(16).writeByte(1);
 
-    private final EmbeddedChannel channel = new EmbeddedChannel();
-    private final AtomicLong timeNs = new AtomicLong();
-    private final ProxyClock clock = new ProxyClock(timeNs::get);
-    private EventLoopLagMonitor lagMonitor;
-    private UnreadInput unreadInput;
-    private long startUs;
+    private final SimulatedLoop loop = new SimulatedLoop();
+    private final UnreadInput unreadInput = new UnreadInput(loop.lagMonitor, false);
+    private final long startUs = loop.clock.nowUs();
 
-    @BeforeEach
-    void setUp() {
-        channel.freezeTime();
-        lagMonitor = new EventLoopLagMonitor(clock, channel.eventLoop());
-        lagMonitor.start();
-        unreadInput = new UnreadInput(lagMonitor, false);
-        startUs = clock.nowUs();
-    }
-
-    /** Advances the time and runs the tasks of the loop that are due, each millisecond. */
+    /** Runs the loop without input. */
     private void advance(long ms) {
         for (long i = 0; i < ms; i++) {
-            timeNs.addAndGet(TimeUnit.MILLISECONDS.toNanos(1));
-            channel.advanceTimeBy(1, TimeUnit.MILLISECONDS);
-            channel.runPendingTasks();
+            loop.runTurn(() -> { });
         }
     }
 
