Check for unread input only on connections that carry long bodies

Cause: UnreadInput took each read that fills its buffer for one that may leave input unread, and set a timer of 1 ms to find out. That the timers are the cause is suspected, not shown.

Change: a read counts so from the first long body of a connection on; the pauses, which the fix rests on, count as before. What is unread of a short request is read within a few turns of the loop.

--- a/proxy/src/main/java/walkpost/proxy/RequestReceiver.java
+++ b/proxy/src/main/java/walkpost/proxy/RequestReceiver.java
@@ -73,6 +73,7 @@
 
     /** Starts the exchange, with the bytes collected so far as the start of the body. */
     private void startRelaying() {
+        connection.unreadInput().trackBacklog();
         bodyArrival = new BodyArrival(HttpUtil.getContentLength(head, -1L), frontend.lagMonitor()::nowUs);
         bodyArrival.onRead(body.readableBytes());
         var relay = new BodyRelay(body, this, frontend.bufferBudget);
--- a/proxy/src/main/java/walkpost/proxy/UnreadInput.java
+++ b/proxy/src/main/java/walkpost/proxy/UnreadInput.java
@@ -12,6 +12,7 @@
     /** The earliest time at which an unread byte may have arrived; {@code Long.MAX_VALUE} if the latest read took in all there was. */
     private long unreadSinceUs = Long.MAX_VALUE;
     private boolean mayHoldClose;
+    private boolean trackingBacklog;
     private boolean paused;
     private int readCount;
     private int pauseCount;
@@ -27,6 +28,14 @@
         this.mayHoldClose = mayHaveWaited;
     }
 
+    /**
+     * Takes into account from now on that a read may leave some input unread. Called when a long body begins: what is unread of short
+     * requests is read within a few turns of the event loop.
+     */
+    void trackBacklog() {
+        trackingBacklog = true;
+    }
+
     /**
      * Notes a read. One that does not fill its buffer has taken in all there was.
      *
@@ -34,7 +43,7 @@
      */
     long onRead(ByteBuf bytes) {
         long arrivedAtUs = earliestArrivalUs();
-        unreadSinceUs = bytes.isWritable() ? Long.MAX_VALUE : arrivedAtUs;
+        unreadSinceUs = trackingBacklog && !bytes.isWritable() ? arrivedAtUs : Long.MAX_VALUE;
         readCount++;
         trackClose();
         return arrivedAtUs;
--- a/proxy/src/test/java/walkpost/proxy/UnreadInputTest.java
+++ b/proxy/src/test/java/walkpost/proxy/UnreadInputTest.java
@@ -15,6 +15,10 @@
     private final UnreadInput unreadInput = new UnreadInput(loop.lagMonitor, false);
     private final long startUs = loop.clock.nowUs();
 
+    UnreadInputTest() {
+        unreadInput.trackBacklog();
+    }
+
     /** Runs the loop without input. */
     private void advance(long ms) {
         for (long i = 0; i < ms; i++) {
@@ -82,6 +86,15 @@
         assertThat(earliestArrivalMs()).isZero();
     }
 
+    /** Guards against a timer for each short request: a tenth of their reads fill the buffer. */
+    @Test
+    void beforeALongBodyAReadThatFillsItsBufferCountsForNothing() {
+        var shortRequests = new UnreadInput(loop.lagMonitor, false);
+        shortRequests.onRead(FULL);
+        advance(5);
+        assertThat(shortRequests.earliestArrivalUs()).isEqualTo(loop.clock.nowUs());
+    }
+
     @Test
     void aReadThatFillsItsBufferMayLeaveSomeUnread() {
         unreadInput.onRead(FULL);
