--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+here=$(cd "$(dirname "$0")" && pwd)
+exec "$here/../stand-2/run.sh" ReloadCase "$here"
--- a/review/stand-2/Stand.java
+++ b/review/stand-2/Stand.java
@@ -429,6 +429,8 @@
         volatile String operator;
         int memoryMb = 192;
         int sockets = 1024;
+        /** The limit of descriptors that the platform sets for the process; 0 for the one that is in force here. */
+        int limit;
 
         Proxy(String name) throws IOException {
             this.name = name;
@@ -448,7 +450,7 @@
 
         void start() throws IOException {
             Path tmp = Files.createDirectories(folder.resolve("tmp"));
-            var builder = new ProcessBuilder("/bin/sh", "-c", runLine()).directory(root().toFile()).redirectErrorStream(true);
+            var builder = new ProcessBuilder("/bin/sh", "-c", (limit > 0 ? "ulimit -n " + limit + "; " : "") + runLine()).directory(root().toFile()).redirectErrorStream(true);
             builder.environment().put("PROXY_NAME", name);
             builder.environment().put("PROXY_LISTEN", "127.0.0.1:" + port);
             builder.environment().put("PROXY_CONFIG", config.toString());
