--- a/review/stand-2/CrowdCase.java
+++ b/review/stand-2/CrowdCase.java
@@ -48,12 +48,9 @@
         Stand.sleep(3);
         Stand.note("before the crowd: %d served, %d unanswered", SERVED.get(), UNANSWERED.get());
         if (Stand.TROUBLE) {
-            Stand.thread("crowd", () -> {
-                for (int i = 0; i < CROWD; i++) {
-                    Stand.thread("idle", () -> idle(proxy.port));
-                    Stand.sleep(0.001);
-                }
-            });
+            for (int i = 0; i < CROWD; i++) {
+                Stand.thread("idle", () -> idle(proxy.port));
+            }
         }
         int most = 0;
         for (double end = Stand.now() + 45; Stand.now() < end; Stand.sleep(0.1)) {
