Call a new discovery soon enough that its list is there 4 s after SIGHUP

Ruled out: SIGHUP taken over late (7 to 20 ms after it), a list that is taken late or dropped (none in the log), a call that waits (each 503 came within 2 ms).

Cause: the back-off after a failed call goes up to 2.4 s, a sum made for the 6 s after a failed call. No sum had the 4 s after a signal. A call that is silent or fails late across the deadline was hedged by its own age alone, which misses it in the same way.

Fix: the time of the signal is taken when it comes (before the file is read). The module gets it as an event (ListDeadline); before the deadline a back-off takes at most half of the time left (0.25 s at the least), with its jitter, and an earlier deadline outlives a second signal. The network code hedges a call that is open just before the deadline. So whenever the new address recovers, a call starts in time: the rows at ListCallTiming. Nothing changes without a signal.

--- a/proxy/src/main/java/walkpost/Balancer.java
+++ b/proxy/src/main/java/walkpost/Balancer.java
@@ -132,12 +132,18 @@
     }
 
     /** An event that the proxy reports. */
-    sealed interface Event permits ListUpdate, SettingsChanged, Excluded, Included, Arrival, RequestStreamStarted,
+    sealed interface Event permits ListUpdate, ListDeadline, SettingsChanged, Excluded, Included, Arrival, RequestStreamStarted,
             RequestStreamEnded, ResponseStreamStarted, AttemptEnded, ClientGone, TimerFired, ProbeEnded { }
 
     /** The server list has changed, or a call for it failed. A backend that is missing from a full list is gone. */
     record ListUpdate(ListKind kind, List<Backend> backends) implements Event { }
 
+    /**
+     * Whatever discovery has at a time counts as published to this proxy from then on, whether or not it could be reached until then. A
+     * deadline replaces no earlier one.
+     */
+    record ListDeadline(long atUs) implements Event { }
+
     /** The settings have changed. A request that has arrived before keeps the settings in force at its arrival. */
     record SettingsChanged(Settings settings) implements Event { }
 
--- a/proxy/src/main/java/walkpost/DiscoveryBackOff.java
+++ b/proxy/src/main/java/walkpost/DiscoveryBackOff.java
@@ -14,6 +14,8 @@
     /** The first step is the time within which a proxy has to ask, divided by this; each further step is twice the one before. */
     private static final int FIRST_STEP_DIVISOR = 32;
     private static final int MAX_DOUBLINGS = 3;
+    /** However soon a deadline is, the longest back-off before it, in microseconds; it ends within the 300 ms in which a drain is obeyed. */
+    private static final long MIN_LIMIT_US = 250_000;
 
     private DiscoveryBackOff() { }
 
@@ -24,11 +26,22 @@
      * @param requestListWithinUs the time within which a proxy without a watch has to ask for the list, from the settings
      * @param failedCalls the number of calls that have failed in a row, from 1
      * @param jitter a random number from 0 to 1, this proxy's own
+     * @param leftUs the time until the next of the {@link ListDeadlines}; the back-off takes at most half of it
      */
-    public static long delayUs(long requestListWithinUs, int failedCalls, double jitter) {
+    public static long delayUs(long requestListWithinUs, int failedCalls, double jitter, long leftUs) {
         double stepUs = requestListWithinUs / (double) FIRST_STEP_DIVISOR * (1 << Math.min(failedCalls - 1, MAX_DOUBLINGS));
-        double mostUs = Math.min(1.5 * stepUs, MAX_DELAY_US);
+        double mostUs = Math.min(1.5 * stepUs, limitUs(leftUs));
         double leastUs = Math.min(0.5 * stepUs, mostUs / 2);
         return (long) (leastUs + (mostUs - leastUs) * jitter);
     }
+
+    /**
+     * Returns the longest delay before the next call, in microseconds. Half of the time until a deadline is left for the call itself, so
+     * that a discovery that can be reached again is called before the deadline, whenever that is.
+     *
+     * @param leftUs the time until the next deadline for the list, or {@link ListDeadlines#NONE}
+     */
+    public static long limitUs(long leftUs) {
+        return Math.min(MAX_DELAY_US, Math.max(leftUs / 2, MIN_LIMIT_US));
+    }
 }
--- a/proxy/src/main/java/walkpost/Policy.java
+++ b/proxy/src/main/java/walkpost/Policy.java
@@ -79,9 +79,7 @@
     private long refreshPeriodUs;
     private long nextRefreshAt = Long.MIN_VALUE;
     private double retryTokens = MAX_RETRY_TOKENS;
-    /** The time at which the list is to be requested next, or {@link Long#MAX_VALUE} if no request is due. */
-    private long listRequestAt = Long.MIN_VALUE;
-    private int failedListCalls;
+    private final ListRequestSchedule listRequests;
     /** The work of all attempts in flight, in requests of mean cost. */
     private double workInFlight;
     private double meanCostUs;
@@ -98,6 +96,7 @@
     /** Creates an instance with an empty list of servers. */
     public Policy(Settings settings) {
         this.random = new Random(settings.seed());
+        this.listRequests = new ListRequestSchedule(random);
         applySettings(settings);
     }
 
@@ -206,8 +205,8 @@
         now = nowUs;
         concurrencyLimit.update(now, servers.size(), meanConcurrencyPart());
         this.actions = actions;
-        if (listRequestAt == Long.MIN_VALUE) {
-            requestList();
+        if (!listRequests.isStarted()) {
+            listRequests.request(settings, now, actions);
         }
         if (event instanceof Arrival e) {
             requestArrived(e);
@@ -219,14 +218,16 @@
             findInFlight(e.id(), e.attempt()).ifPresent(attempt -> requestStreamEnded(attempt, e.leftUs()));
         } else if (event instanceof ResponseStreamStarted e) {
             findInFlight(e.id(), e.attempt()).ifPresent(this::responseStreamStarted);
-        } else if (event instanceof TimerFired e && e.token().equals("ask") && now >= listRequestAt) {
-            requestList();
+        } else if (event instanceof TimerFired e && e.token().equals(ListRequestSchedule.TIMER) && listRequests.isDue(now)) {
+            listRequests.request(settings, now, actions);
         } else if (event instanceof ListUpdate e) {
             listUpdated(e);
+        } else if (event instanceof ListDeadline e) {
+            listRequests.addDeadline(e.atUs(), now);
         } else if (event instanceof SettingsChanged e) {
             applySettings(e.settings());
             refreshWeights();
-            requestList();
+            listRequests.request(settings, now, actions);
         } else if (event instanceof Excluded e) {
             exclude(e.backend());
         } else if (event instanceof Included e && excludedIds.remove(e.backend())) {
@@ -241,14 +242,11 @@
 
     private void listUpdated(ListUpdate update) {
         if (update.kind() == ListKind.FAILED) {
-            // A failed call is repeated after an exponential back-off with jitter.
-            failedListCalls++;
-            scheduleListRequest(DiscoveryBackOff.delayUs(rules.requestListWithinUs(), failedListCalls, random.nextDouble()));
+            listRequests.onCallFailed(settings, now, actions);
             return;
         }
         if (update.kind() != ListKind.CACHED) {
-            failedListCalls = 0;
-            listRequestAt = Long.MAX_VALUE;
+            listRequests.onListReceived();
         }
         applyList(update.kind(), update.backends());
     }
@@ -778,24 +776,4 @@
         double jitter = 1 - (mix(request.id.hashCode()) >>> 16) / 262_144.0;
         return (long) (jitter * Math.min(Math.max(concurrencyLimit.targetUs(), queuedUs), settings.limits().maxRetryAfterUs()));
     }
-
-    // Timers
-
-    /**
-     * Asks for the list of servers and for a watch on its changes, if the list comes on request only. A timer repeats this if no list comes
-     * in time.
-     */
-    private void requestList() {
-        if (settings.limits().listOnRequest()) {
-            actions.accept(new Watch(true));
-            scheduleListRequest(rules.requestListWithinUs());
-        } else {
-            listRequestAt = Long.MAX_VALUE;
-        }
-    }
-
-    private void scheduleListRequest(long delayUs) {
-        listRequestAt = now + delayUs;
-        actions.accept(new SetTimer(listRequestAt, "ask"));
-    }
 }
--- a/proxy/src/main/java/walkpost/proxy/BalancerDriver.java
+++ b/proxy/src/main/java/walkpost/proxy/BalancerDriver.java
@@ -215,6 +215,11 @@
         unsent.forEach(attempt -> attempt.abort(Outcome.NOT_SENT));
     }
 
+    /** Tells the balancer from when on whatever discovery has counts as published, in microseconds on the proxy's clock. */
+    void listIsDue(long atUs) {
+        deliver(new Balancer.ListDeadline(atUs));
+    }
+
     /** Passes new settings to the balancer. */
     void settingsChanged(Balancer.Settings settings) {
         deliver(new Balancer.SettingsChanged(settings));
--- a/proxy/src/main/java/walkpost/proxy/DiscoveryClient.java
+++ b/proxy/src/main/java/walkpost/proxy/DiscoveryClient.java
@@ -3,6 +3,7 @@
 import walkpost.Balancer;
 import walkpost.Balancer.BackendState;
 import walkpost.Balancer.ListKind;
+import walkpost.ListDeadlines;
 import walkpost.proxy.ListVersion.Verdict;
 import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.channel.Channel;
@@ -20,7 +21,7 @@
  * Requests the list of servers from discovery. A watch is a sequence of long polls, each started as soon as the previous one is answered.
  * A call without a response is hedged by parallel calls at the times of {@link ListCallTiming}. If all of them fail the watch ends and the
  * balancer is notified, which then reopens the watch with an increasing back-off. A response that a newer list has overtaken is dropped
- * ({@link ListVersion}). At most six descriptors are in use: a watch and a call for the full list may be open at once, with up to three
+ * ({@link ListVersion}). At most eight descriptors are in use: a watch and a call for the full list may be open at once, with up to four
  * connections each. All methods run on the event loop.
  */
 final class DiscoveryClient {
@@ -54,6 +55,7 @@
     private boolean initialWaitOver;
     private final DiscoveryRetryPolicy retryPolicy = new DiscoveryRetryPolicy();
     private final ServerStartTimes startTimes = new ServerStartTimes();
+    private final ListDeadlines deadlines = new ListDeadlines();
 
     DiscoveryClient(EventLoop loop, ChannelFactory<Channel> transport, BalancerDriver balancerDriver, InetSocketAddress address,
             Balancer.Settings settings) {
@@ -117,6 +119,29 @@
         }
     }
 
+    /**
+     * Takes note of a signal to reload the configuration: some time after it, whatever discovery has counts as published to this proxy.
+     *
+     * @param signalledAtUs the time of the signal, on the proxy's clock
+     */
+    void onReloadSignal(long signalledAtUs) {
+        long dueAtUs = signalledAtUs + TimeUnit.MILLISECONDS.toMicros(ListCallTiming.LIST_DUE_AFTER_SIGNAL_MS);
+        long nowUs = balancerDriver.nowUs();
+        deadlines.add(dueAtUs, nowUs);
+        balancerDriver.listIsDue(dueAtUs);
+        long beforeMs = timing.deadlineHedgeBeforeMs(random.nextDouble());
+        loop.schedule(() -> hedgeOpenCalls(beforeMs), TimeUnit.MICROSECONDS.toMillis(dueAtUs - nowUs) - beforeMs, TimeUnit.MILLISECONDS);
+    }
+
+    private void hedgeOpenCalls(long leftMs) {
+        if (watchCall != null) {
+            watchCall.hedgeBeforeDeadline(leftMs);
+        }
+        if (fullListCall != null) {
+            fullListCall.hedgeBeforeDeadline(leftMs);
+        }
+    }
+
     /**
      * Continues at another address of discovery. The old one is about to close its connections, so open calls are ended and repeated at
      * the new address, which is asked for the full list regardless of the current one.
@@ -266,15 +291,28 @@
         HedgedCall(boolean watching, long waitMs) {
             this.watching = watching;
             schedule = timing.schedule(waitMs);
-            schedule.hedgeAfterMs().forEach(afterMs -> runAfter(afterMs, () -> {
-                log.warn("asked_again", "after_ms", afterMs, "waiting_ms", waitMs);
-                sendRequest(0);
-            }));
+            schedule.hedgeAfterMs().forEach(afterMs -> runAfter(afterMs, this::hedge));
             // If discovery is cut off and silent, or its response never ends, TCP alone would never report it.
             runAfter(schedule.timeoutMs(), () -> fail(CallFailure.UNREACHABLE, "no response within " + schedule.timeoutMs() + " ms"));
             sendRequest(waitMs);
         }
 
+        private void hedge() {
+            log.warn("asked_again", "after_ms", ageMs(), "waiting_ms", schedule.waitMs());
+            sendRequest(0);
+        }
+
+        /** Sends a hedge call if this call may not be answered before a deadline that is {@code leftMs} ahead. */
+        void hedgeBeforeDeadline(long leftMs) {
+            if (timing.needsDeadlineHedge(schedule, ageMs(), leftMs)) {
+                hedge();
+            }
+        }
+
+        private long ageMs() {
+            return TimeUnit.NANOSECONDS.toMillis(loop.ticker().nanoTime() - startedNs);
+        }
+
         private void runAfter(long delayMs, Runnable action) {
             timers.add(loop.schedule(action, delayMs, TimeUnit.MILLISECONDS));
         }
@@ -291,8 +329,7 @@
                         failed(CallFailure.REJECTED, "the response contains changes, but the full list was requested");
                     } else if (!ended) {
                         end();
-                        onListReceived(HedgedCall.this, atCallStart, list,
-                                TimeUnit.NANOSECONDS.toMillis(loop.ticker().nanoTime() - startedNs));
+                        onListReceived(HedgedCall.this, atCallStart, list, ageMs());
                     }
                 }
 
@@ -316,7 +353,8 @@
             } else if (openRequests == 0) {
                 fail(failure, reason);
             } else if (isHedge) {
-                runAfter(timing.hedgeRetryMs(hedgeRetries++, random.nextDouble()), () -> sendRequest(0));
+                long leftUs = deadlines.leftUs(balancerDriver.nowUs());
+                runAfter(timing.hedgeRetryMs(hedgeRetries++, random.nextDouble(), leftUs), () -> sendRequest(0));
             }
         }
 
--- a/proxy/src/main/java/walkpost/proxy/ListCallTiming.java
+++ b/proxy/src/main/java/walkpost/proxy/ListCallTiming.java
@@ -1,6 +1,9 @@
 package walkpost.proxy;
 
 import java.util.List;
+import java.util.concurrent.TimeUnit;
+import walkpost.DiscoveryBackOff;
+import walkpost.ListDeadlines;
 
 /**
  * Computes when the proxy calls discovery for the list of servers: how long a call may wait for changes, when a call without a response is
@@ -29,6 +32,17 @@
  * the same twice in a row                                       -          -         4.0          1.5   5.5
  * the same for a call that waits, 3.5 s                         -          -         4.1          1.5   5.6
  * </pre>
+ * After a signal to reload, whatever discovery has counts as published {@link #LIST_DUE_AFTER_SIGNAL_MS} later, and a drain must be obeyed
+ * 0.3 s after that. The new address may be unreachable for a part of that time, too, so failed calls follow each other faster as the
+ * deadline comes closer: the back-off is at most half of the time left, and 0.25 s at the least limit ({@link walkpost.DiscoveryBackOff#limitUs}).
+ * A call that is open at the deadline may never be answered, so it is hedged up to {@link #DEADLINE_HEDGE_SPREAD_MS} before it. If discovery
+ * becomes reachable T seconds after the signal, each row must sum up to at most 4.3 s:
+ * <pre>
+ * last step before discovery became reachable       next call starts at the latest    left for the response
+ * refused, 503, reset, or broken off at once        T + (4.0 - T) / 2                 0.3 s + (4.0 - T) / 2
+ * the same for T from 3.5 to 4.0                    T + 0.25                          4.05 s - T
+ * not connected, silent, 503 or broken off later    4.0, for T up to 3.8              0.3
+ * </pre>
  * If the hedge call of a silent call falls silent as well, the next one follows 1.95 s later, and a change missed by the second silence
  * counts 6 s after it: 3.5 s are needed. A change missed by the first silence is then late by up to 1.6 s, for waits over 2.4 s. This is
  * accepted: no scenario that the proxy has to handle has two silences in a row, and when proxies called sooner, discovery rejected calls in
@@ -65,6 +79,12 @@
      */
     private static final long HEDGE_RETRY_MS = 100;
     private static final int MAX_HEDGE_RETRY_DOUBLINGS = 4;
+    /** How long after a signal to reload everything that discovery has counts as published to this proxy. */
+    static final long LIST_DUE_AFTER_SIGNAL_MS = 4_000;
+    /** The hedge calls of many proxies that got the same signal are spread over this time before the deadline. */
+    private static final long DEADLINE_HEDGE_SPREAD_MS = 200;
+    /** A hedge call that is due anyway so soon after the deadline takes the place of the one before it. */
+    private static final long DEADLINE_HEDGE_TOLERANCE_MS = 100;
     /**
      * A service shared by all proxies takes their calls in turn, as after a mass start, and ends calls that waited too long itself. A call
      * that need not wait for changes is silent only after that time, and a change it misses counts 6 s after its start.
@@ -125,9 +145,33 @@
      *
      * @param earlierRetries how many hedge calls of the same silent call have been repeated already
      * @param draw a random number of this proxy from 0 to 1
+     * @param leftUs the time until the next of the {@link walkpost.ListDeadlines}, in microseconds
+     */
+    long hedgeRetryMs(int earlierRetries, double draw, long leftUs) {
+        double longestMs = (HEDGE_RETRY_MS << Math.min(earlierRetries, MAX_HEDGE_RETRY_DOUBLINGS)) * 2.0;
+        double limitMs = leftUs == ListDeadlines.NONE ? longestMs : TimeUnit.MICROSECONDS.toMillis(DiscoveryBackOff.limitUs(leftUs));
+        return (long) (Math.min(longestMs, limitMs) * (1 + draw) / 2);
+    }
+
+    /**
+     * Returns how long before a deadline for the list a call that need not wait for changes is hedged if it is still open then.
+     *
+     * @param draw a random number of this proxy from 0 to 1
+     */
+    long deadlineHedgeBeforeMs(double draw) {
+        return (long) (DEADLINE_HEDGE_SPREAD_MS * draw);
+    }
+
+    /**
+     * Returns whether a call needs another hedge call before a deadline for the list.
+     *
+     * @param schedule the schedule of the call
+     * @param ageMs how long ago the call started
+     * @param leftMs the time until the deadline
      */
-    long hedgeRetryMs(int earlierRetries, double draw) {
-        return (long) ((HEDGE_RETRY_MS << Math.min(earlierRetries, MAX_HEDGE_RETRY_DOUBLINGS)) * (1 + draw));
+    boolean needsDeadlineHedge(CallSchedule schedule, long ageMs, long leftMs) {
+        return schedule.waitMs() == 0 && schedule.hedgeAfterMs().stream()
+                .noneMatch(afterMs -> afterMs >= ageMs && afterMs <= ageMs + leftMs + DEADLINE_HEDGE_TOLERANCE_MS);
     }
 
     /** Returns the connect timeout. */
--- a/proxy/src/main/java/walkpost/proxy/Serve.java
+++ b/proxy/src/main/java/walkpost/proxy/Serve.java
@@ -278,21 +278,26 @@
      * valid changes nothing. The file is read on the calling thread and not on the loop, because with thousands of tenants that takes
      * longer than a request may wait.
      */
-    synchronized void reconfigure(Path configFile) {
+    void reconfigure(Path configFile) {
+        reconfigure(configFile, clock.nowUs());
+    }
+
+    private synchronized void reconfigure(Path configFile, long signalledAtUs) {
         try {
             Config next = Config.read(configFile);
-            loop.execute(() -> apply(next));
+            loop.execute(() -> apply(next, signalledAtUs));
         } catch (Config.InvalidConfigException e) {
             loop.execute(() -> logRejectedConfig(e));
         }
     }
 
-    private void apply(Config read) {
+    private void apply(Config read, long signalledAtUs) {
         try {
             Config next = config.checkedReplacement(read);
             config = next;
             frontend.applySettings(next.settings());
             serverConnections.setTimeouts(next.connIdleUs(), next.connectTimeoutUs());
+            discovery.onReloadSignal(signalledAtUs);
             discovery.applySettings(next.settings());
             balancerDriver.settingsChanged(next.settings());
             discovery.changeAddress(next.discovery());
--- a/proxy/src/test/java/walkpost/RulesTest.java
+++ b/proxy/src/test/java/walkpost/RulesTest.java
@@ -342,6 +342,20 @@
             assertThat(harness.fireTimer(timer.token())).contains(new Watch(true));
         }
 
+        @Test
+        void backOffIsShorterBeforeADeadlineForTheListHoweverManyCallsHaveFailed() {
+            var harness = new PolicyHarness(PolicyHarness.settings(new Limits(true, false, false, true, 4, 0), RULES));
+            for (int failed = 0; failed < 9; failed++) {
+                harness.feed(new ListUpdate(ListKind.FAILED, List.of()));
+            }
+            harness.feed(new Balancer.ListDeadline(harness.now + S));
+            SetTimer timer = (SetTimer) harness.feed(new ListUpdate(ListKind.FAILED, List.of())).get(0);
+            assertThat(timer.atUs()).isLessThanOrEqualTo(harness.now + S / 2);
+            harness.now += 2 * S;
+            timer = (SetTimer) harness.feed(new ListUpdate(ListKind.FAILED, List.of())).get(0);
+            assertThat(timer.atUs()).as("after the deadline").isGreaterThan(harness.now + S / 2);
+        }
+
         @Test
         void proxiesDoNotRepeatFailedListCallsInStep() {
             var harness = new PolicyHarness(PolicyHarness.settings(new Limits(true, false, false, true, 4, 0), RULES));
--- a/proxy/src/test/java/walkpost/proxy/DiscoveryOutageTest.java
+++ b/proxy/src/test/java/walkpost/proxy/DiscoveryOutageTest.java
@@ -5,6 +5,7 @@
 import walkpost.Balancer;
 import walkpost.Balancer.ListKind;
 import walkpost.DiscoveryBackOff;
+import walkpost.ListDeadlines;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.io.IOException;
@@ -100,7 +101,8 @@
         private void onList(ListKind kind) {
             if (kind == ListKind.FAILED) {
                 failedCalls++;
-                long backOffUs = DiscoveryBackOff.delayUs(withinMs * 1_000, failedCalls, longestBackOff ? 1 : random.nextDouble());
+                long backOffUs = DiscoveryBackOff.delayUs(withinMs * 1_000, failedCalls, longestBackOff ? 1 : random.nextDouble(),
+                        ListDeadlines.NONE);
                 channel.eventLoop().schedule(() -> discovery.setWatching(true), backOffUs, TimeUnit.MICROSECONDS);
             } else if (kind == ListKind.CACHED) {
                 channel.eventLoop().execute(() -> discovery.setWatching(true));
--- a/proxy/src/test/java/walkpost/proxy/ListCallTimingTest.java
+++ b/proxy/src/test/java/walkpost/proxy/ListCallTimingTest.java
@@ -118,6 +118,42 @@
         }
     }
 
+    /** Checks the rows of the table at {@link ListCallTiming} for the 4 s after a signal to reload: each must stay within 4.3 s. */
+    @ParameterizedTest
+    @MethodSource("timings")
+    void repeatsACallBeforeWhatDiscoveryHasCountsAfterASignal(boolean pushed, ListCallTiming timing) {
+        for (long leftMs = 0; leftMs <= ListCallTiming.LIST_DUE_AFTER_SIGNAL_MS; leftMs += 50) {
+            long backOffMs = DiscoveryBackOff.limitUs(leftMs * 1_000) / 1_000;
+            assertThat(backOffMs).as("back-off, %d ms left", leftMs).isLessThanOrEqualTo(Math.max(leftMs / 2, 250)).isLessThan(leftMs + 300);
+            for (int retries = 0; retries < 9; retries++) {
+                assertThat(timing.hedgeRetryMs(retries, 1, leftMs * 1_000)).as("hedge call, %d ms left", leftMs).isLessThanOrEqualTo(backOffMs);
+            }
+        }
+    }
+
+    /** Whenever a call that need not wait has started, one request follows between 0.2 s before the deadline and 0.1 s after it. */
+    @ParameterizedTest
+    @MethodSource("timings")
+    void hedgesACallThatIsOpenAtTheDeadlineAfterASignal(boolean pushed, ListCallTiming timing) {
+        ListCallTiming.CallSchedule schedule = timing.schedule(0);
+        for (long leftMs : new long[] {0, timing.deadlineHedgeBeforeMs(0.5), timing.deadlineHedgeBeforeMs(1)}) {
+            assertThat(leftMs).isLessThanOrEqualTo(200);
+            for (long ageMs = 0; ageMs < schedule.timeoutMs(); ageMs += 10) {
+                long deadlineMs = ageMs + leftMs;
+                boolean hedgedAnyway = schedule.hedgeAfterMs().stream()
+                        .anyMatch(afterMs -> afterMs >= deadlineMs - 200 && afterMs <= deadlineMs + 100);
+                assertThat(hedgedAnyway || timing.needsDeadlineHedge(schedule, ageMs, leftMs)).isTrue();
+            }
+        }
+    }
+
+    /** A watch that waits for changes is not in trouble because of a signal. */
+    @ParameterizedTest
+    @MethodSource("timings")
+    void doesNotHedgeAWatchBecauseOfASignal(boolean pushed, ListCallTiming timing) {
+        assertThat(timing.needsDeadlineHedge(timing.schedule(timing.maxWaitMs()), 0, 200)).isFalse();
+    }
+
     /** Each call is work for a service that all proxies share, and a needless hedge call would double it. */
     @ParameterizedTest
     @MethodSource("timings")
--- a/proxy/src/test/java/walkpost/proxy/ProxyFixture.java
+++ b/proxy/src/test/java/walkpost/proxy/ProxyFixture.java
@@ -43,6 +43,7 @@
     private final AtomicLong clockAdvanceNs = new AtomicLong();
     /** The time at which the proxy's clock stands still, without its advance; 0 while it runs. */
     private volatile long clockStoppedNs;
+    private final ProxyClock clock;
     private final Serve serve;
     final InetSocketAddress address;
     private final InetSocketAddress operatorAddress;
@@ -103,7 +104,8 @@
         String json = CONFIG.formatted(discovery.address(), socketLimit, entries, idleUs);
         Config config = Config.parse(Config.JSON.readTree(json));
         Balancer balancer = factory.apply(config.settings());
-        serve = new Serve(config, environment, new ProxyClock(this::nanoTime), (now, event, actions) -> {
+        clock = new ProxyClock(this::nanoTime);
+        serve = new Serve(config, environment, clock, (now, event, actions) -> {
             events.add(event);
             balancer.handle(now, event, actions);
         });
@@ -188,6 +190,11 @@
         clockAdvanceNs.addAndGet(time.toNanos());
     }
 
+    /** Returns the time on the proxy's clock, in microseconds. */
+    long clockUs() {
+        return clock.nowUs();
+    }
+
     /** Stops the proxy's clock, so that no span of its time passes however slow the test is. Timers of its event loop go on. */
     void stopClock() {
         clockStoppedNs = System.nanoTime();
--- a/proxy/src/test/java/walkpost/proxy/ReconfigurationTest.java
+++ b/proxy/src/test/java/walkpost/proxy/ReconfigurationTest.java
@@ -11,9 +11,11 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -159,4 +161,46 @@
             assertThat(proxy.nextEvent(Balancer.SettingsChanged.class).settings().classes()).hasSize(4);
         }
     }
+
+    /** A busy event loop takes the signal over late, which does not postpone the deadline. */
+    @Test
+    void theDeadlineForTheListCountsFromTheSignal() throws Exception {
+        var loopIsBusy = new CountDownLatch(1);
+        var loopMayGoOn = new CountDownLatch(1);
+        try (var proxy = new ProxyFixture((event, actions) -> {
+            if (event instanceof Arrival) {
+                loopIsBusy.countDown();
+                await(loopMayGoOn);
+            }
+        }); var client = proxy.client()) {
+            client.send(ProxyFixture.get("r1"));
+            await(loopIsBusy);
+            proxy.stopClock();
+            long signalledAtUs = proxy.clockUs();
+            reconfigure(proxy, ProxyFixture.config().toString());
+            proxy.advanceClock(Duration.ofSeconds(1));
+            loopMayGoOn.countDown();
+            assertThat(proxy.nextEvent(Balancer.ListDeadline.class).atUs()).isEqualTo(signalledAtUs + 4_000_000);
+        }
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @Test
+    void anInvalidFileSetsNoDeadlineForTheList() throws Exception {
+        try (var proxy = new ProxyFixture(ProxyFixture.sendTo("s0"))) {
+            reconfigure(proxy, "{\"name\":");
+            proxy.stopClock();
+            proxy.advanceClock(Duration.ofSeconds(1));
+            long signalledAtUs = proxy.clockUs();
+            reconfigure(proxy, ProxyFixture.config().toString());
+            assertThat(proxy.nextEvent(Balancer.ListDeadline.class).atUs()).isEqualTo(signalledAtUs + 4_000_000);
+        }
+    }
 }
