Allow the early retries of list calls again once discovery has another address

Callers: a drain that the new discovery wrote to a proxy could be missed for a back-off (0.3 s and more), past the 300 ms in which it has to be obeyed, where that response was cut off and the old discovery had died shortly before the signal.

Cause: DiscoveryRetryPolicy repeats a lost response at once, but only three times until a valid response; the count outlived the change of address. Fix: a new address resets it. ReloadDeadlineTest.repeatsALostResponse... failed before: one call within 300 ms in place of four or more.

--- a/proxy/src/main/java/walkpost/DiscoveryBackOff.java
+++ b/proxy/src/main/java/walkpost/DiscoveryBackOff.java
@@ -14,7 +14,7 @@
     /** The first step is the time within which a proxy has to ask, divided by this; each further step is twice the one before. */
     private static final int FIRST_STEP_DIVISOR = 32;
     private static final int MAX_DOUBLINGS = 3;
-    /** However soon a deadline is, the longest back-off before it, in microseconds; it ends within the 300 ms in which a drain is obeyed. */
+    /** The longest back-off just before a deadline, in microseconds: it ends within the 300 ms that a drain has to be obeyed. */
     private static final long MIN_LIMIT_US = 250_000;
 
     private DiscoveryBackOff() { }
--- a/proxy/src/main/java/walkpost/ListRequestSchedule.java
+++ b/proxy/src/main/java/walkpost/ListRequestSchedule.java
@@ -9,8 +9,8 @@
 
 /**
  * Decides when the list of servers and a watch on its changes are requested, if the list comes on request only. A failed request is
- * repeated after a back-off ({@link DiscoveryBackOff}), which is shorter before a deadline for the list ({@link ListDeadlines}). Times are in
- * microseconds. Not thread-safe, without a clock and I/O.
+ * repeated after a back-off ({@link DiscoveryBackOff}), which is shorter before a deadline for the list ({@link ListDeadlines}). Times are
+ * in microseconds. Not thread-safe, without a clock and I/O.
  */
 final class ListRequestSchedule {
     /** The token of the timer at which the next request may be due. */
--- a/proxy/src/main/java/walkpost/proxy/DiscoveryClient.java
+++ b/proxy/src/main/java/walkpost/proxy/DiscoveryClient.java
@@ -151,6 +151,7 @@
             return;
         }
         address = newAddress;
+        retryPolicy.reset();
         version = version.startEpoch();
         boolean watching = watchWanted;
         setWatching(false);
@@ -191,7 +192,7 @@
      */
     private void onListReceived(HedgedCall call, ListVersion atCallStart, JsonNode list, long tookMs) {
         initialWaitOver = true;
-        retryPolicy.onValidResponse();
+        retryPolicy.reset();
         long number = list.path("version").asLong();
         boolean full = list.path("full").asBoolean();
         Verdict verdict = version.judge(atCallStart, number, full);
--- a/proxy/src/main/java/walkpost/proxy/DiscoveryRetryPolicy.java
+++ b/proxy/src/main/java/walkpost/proxy/DiscoveryRetryPolicy.java
@@ -16,8 +16,8 @@
  *                                         after 30 to 60 ms, twice
  * REJECTED (503, not a list)              back-off                                      -
  * </pre>
- * A valid response resets all counts. If a discovery with hundreds of proxies dies, each proxy tries to reach it three times, the first
- * tries spread over 100 ms, and continues at the pace of the back-off; a discovery that rejects calls gets one more call from each proxy.
+ * A valid response and a new address of discovery reset all counts. If a discovery with hundreds of proxies dies, each proxy tries to reach
+ * it three times, the first tries spread over 100 ms, and continues at the pace of the back-off; a discovery that rejects calls gets one more call from each proxy.
  */
 final class DiscoveryRetryPolicy {
     /** Returned instead of a delay if the next call must wait for the back-off. */
@@ -33,12 +33,12 @@
     /** How many calls follow the first early retry, ahead of the back-off. */
     private static final int FURTHER_EARLY_RETRIES = 2;
 
-    /** Whether a call was repeated ahead of the back-off since the last valid response. */
+    /** Whether a call was repeated ahead of the back-off since the last reset. */
     private boolean retriedEarly;
     private int furtherEarlyRetriesLeft;
 
-    /** Resets the retries after a valid response. */
-    void onValidResponse() {
+    /** Allows all early retries again: after a valid response, and for a discovery that has not been called yet. */
+    void reset() {
         retriedEarly = false;
     }
 
--- a/proxy/src/test/java/walkpost/proxy/DiscoveryRetryPolicyTest.java
+++ b/proxy/src/test/java/walkpost/proxy/DiscoveryRetryPolicyTest.java
@@ -75,7 +75,7 @@
         elapsedMs += policy.watchRetryMs(second, 1);
         assertThat(elapsedMs).isLessThan(GRACE_MS);
         assertThat(policy.watchRetryMs(second, 1)).isEqualTo(DiscoveryRetryPolicy.USE_BACK_OFF);
-        policy.onValidResponse();
+        policy.reset();
         assertThat(policy.watchRetryMs(CallFailure.UNREACHABLE, 1)).isEqualTo(DiscoveryRetryPolicy.USE_BACK_OFF);
     }
 
@@ -85,7 +85,7 @@
         var policy = new DiscoveryRetryPolicy();
         assertThat(policy.watchRetryMs(CallFailure.ENDED_UNANSWERED, 0)).isNotEqualTo(DiscoveryRetryPolicy.USE_BACK_OFF);
         assertThat(policy.watchRetryMs(second, 0)).isEqualTo(DiscoveryRetryPolicy.USE_BACK_OFF);
-        policy.onValidResponse();
+        policy.reset();
         assertThat(policy.watchRetryMs(CallFailure.BROKEN_ANSWER, 0)).isNotEqualTo(DiscoveryRetryPolicy.USE_BACK_OFF);
     }
 
--- a/proxy/src/test/java/walkpost/proxy/ReloadDeadlineTest.java
+++ b/proxy/src/test/java/walkpost/proxy/ReloadDeadlineTest.java
@@ -3,22 +3,25 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Random;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 
 /**
- * Checks the 4 s after a signal to reload, for each way in which the new discovery may fail until then and each state in which the signal may
- * find the proxy. Each row is the sum at {@link ListCallTiming}: the list must be there before a drain that it tells has to be obeyed.
+ * Checks the 4 s after a signal to reload, for each way in which the new discovery may fail until then and each state in which the signal
+ * may find the proxy. Each row is the sum at {@link ListCallTiming}: the list must be there before a drain that it tells has to be obeyed.
  */
 class ReloadDeadlineTest {
     /** What happens to calls while the new discovery is in trouble. */
     private enum Fault {
-        REJECTED, REJECTED_AFTER_TWO_SECONDS, CLOSED, CLOSED_LATE, REFUSED, NO_CONNECTION, SILENT, BROKEN_OFF, BROKEN_OFF_LATE, NO_DESCRIPTOR,
-        MIXED;
+        REJECTED, REJECTED_AFTER_TWO_SECONDS, CLOSED, CLOSED_LATE, REFUSED, NO_CONNECTION, SILENT, BROKEN_OFF, BROKEN_OFF_LATE,
+        NO_DESCRIPTOR, MIXED;
 
         private boolean endsAtOnce() {
             return this == REJECTED || this == CLOSED || this == REFUSED || this == BROKEN_OFF;
@@ -40,7 +43,7 @@
     private static final long DRAIN_GRACE_MS = 300;
     private static final long RESPONSE_MS = 20;
     private static final long BETWEEN_SIGNALS_MS = 1_500;
-    /** Each delay is at least a quarter of the time left, until 0.25 s are left: 11 calls. Then 3 that are 0.125 s apart, and 3 early retries. */
+    /** Each delay is a quarter of the time left or more until 0.25 s are left: 11 calls; then 3 calls 0.125 s apart, and 3 early retries. */
     private static final int MAX_CALLS = 17;
     /** The settings that are rarer in asking than the back-off at its longest. */
     private static final long RARE_ASKING_MS = 10_000;
@@ -48,6 +51,7 @@
     /** Only calls that end at once are repeated so late that they are sure to meet a discovery that recovers at the deadline. */
     private static final long LONGEST_TROUBLE_MS = 4_000;
     private static final long[] ASK_WITHIN_MS = {1_900, 10_000, 60_000};
+    private static final long OLD_DISCOVERY_DIES_MS = 1_000;
     private static final int SEEDS = 6;
     private static final long STEP_MS = 10;
 
@@ -72,6 +76,33 @@
         }
     }
 
+    /** A list that was written counts at once, so a lost one is requested again within the 300 ms that a drain has to be obeyed. */
+    @Test
+    void repeatsALostResponseOfTheNewDiscoveryThoughTheOldOneDiedJustBefore() {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            var newCalls = new ArrayList<Long>();
+            var simulation = new AtomicReference<ListClientSimulation>();
+            simulation.set(new ListClientSimulation(call -> {
+                boolean oldDiscoveryLives = simulation.get().nowMs() < OLD_DISCOVERY_DIES_MS;
+                if (call.address.equals(NEW_ADDRESS)) {
+                    newCalls.add(simulation.get().nowMs());
+                    call.failAfter(1, CallFailure.BROKEN_ANSWER);
+                } else if (oldDiscoveryLives) {
+                    call.failAfter(OLD_DISCOVERY_DIES_MS - simulation.get().nowMs(), CallFailure.ENDED_UNANSWERED);
+                } else {
+                    call.failAfter(1, CallFailure.UNREACHABLE);
+                }
+            }, STEP_MS));
+            Config config = ListClientSimulation.config(seed, RARE_ASKING_MS, false);
+            ListClientSimulation.Proxy proxy = simulation.get().new Proxy(config);
+            simulation.get().runUntil(3_000);
+            proxy.reload(config, NEW_ADDRESS);
+            simulation.get().runUntil(3_000 + DRAIN_GRACE_MS);
+            assertThat(newCalls).as("calls within the grace, seed %d", seed).hasSizeGreaterThanOrEqualTo(4);
+            simulation.get().close();
+        }
+    }
+
     /** Asserts when the list arrives, and the bounds of what a proxy asks of a discovery in trouble. */
     private static void check(Reload reload) {
         reload.run();
@@ -79,7 +110,7 @@
                 .isLessThanOrEqualTo(DUE_AFTER_SIGNAL_MS + DRAIN_GRACE_MS);
         int watches = reload.before == Before.FETCHING ? 2 : 1;
         assertThat(reload.proxy.maxOpenCalls).as("calls open at once, %s", reload).isLessThanOrEqualTo(4 * watches);
-        // A call that this machine could not make is no load on discovery, an agent is no shared service, and settings may ask for more calls.
+        // Calls that this machine could not make and calls of an agent are no load on a shared service; settings may require more calls.
         if (reload.fault != Fault.NO_DESCRIPTOR && reload.fault != Fault.MIXED && !reload.pushed && reload.withinMs >= RARE_ASKING_MS) {
             assertThat(reload.callsUntilDrainsCount()).as("calls, %s", reload).isLessThanOrEqualTo(MAX_CALLS * watches);
         }
