Answer each request of a batch, also those that find no room behind the first

Evidence: 200 four times, 429 once, then an orderly end, 180 ms after all was written; the 429 is startOrQueue's. Cause: PipelinedRequests takes 128 KiB; the first request past that became the connection's last, and what followed was read and dropped.

Fix: a request without room is counted and gets a 429 of its own, in order, once those before it are answered; from it on only the number is kept. A body that had begun to arrive is read to its end and dropped. Queued requests are started in a loop, not by recursion. More than 1,000 refusals in a row end the connection. Reading never pauses, so a client's close is noticed as before.

--- a/proxy/src/main/java/walkpost/proxy/ClientConnection.java
+++ b/proxy/src/main/java/walkpost/proxy/ClientConnection.java
@@ -1,10 +1,12 @@
 package walkpost.proxy;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
@@ -12,6 +14,7 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
@@ -35,6 +38,13 @@
      * and waits for its turn to be accepted.
      */
     static final int MAX_REJECTIONS = 16;
+    /**
+     * A connection is closed after so many requests in a row that were refused for want of room: more than a batch has. Whoever sends more
+     * without waiting for the responses has to connect again.
+     */
+    static final int MAX_REFUSALS = 1_000;
+    /** The most refusals that are written in one turn of the event loop, so that a flood of one client does not hold it up. */
+    private static final int MAX_REFUSALS_PER_TURN = 256;
     /** A client that has sent nothing for this long after it was accepted may be disconnected if connections run out. */
     private static final long SILENT_MS = 500;
 
@@ -51,6 +61,11 @@
     private BodyPace bodyPace;
     /** The requests rejected since the last one that was accepted. */
     private int rejections;
+    /** The requests refused for want of room since the last one that was started. */
+    private int refusals;
+    /** Whether queued exchanges are being started, one after the other. */
+    private boolean startingQueued;
+    private boolean writingRefusals;
     /** What is reserved for the head that is not complete. */
     private int reservedHeadBytes;
     private long lastReadAtUs;
@@ -153,7 +168,7 @@
      * to be the last on its connection.
      */
     private void markIdleOrClose() {
-        if (exchange != null || finalResponse != null || isReceivingRequest() || closing.isStarted()) {
+        if (owesResponse() || finalResponse != null || isReceivingRequest() || closing.isStarted()) {
             return;
         }
         if (frontend.closesAfterResponses()) {
@@ -203,7 +218,7 @@
         receiveTimer = null;
         if (isReceivingRequest()) {
             closeWith(requestTimeout());
-        } else if (exchange == null) {
+        } else if (!owesResponse()) {
             closing.start();
         }
     }
@@ -253,6 +268,8 @@
     public void channelWritabilityChanged(ChannelHandlerContext ctx) throws Exception {
         if (exchange != null) {
             exchange.transferResponse();
+        } else {
+            sendRefusals();
         }
         super.channelWritabilityChanged(ctx);
     }
@@ -287,7 +304,7 @@
             RequestHeadValidator.check(head);
             receiver = new RequestReceiver(frontend, this, head);
             startBodyTimer();
-            if (exchange == null) {
+            if (!owesResponse()) {
                 receiver.sendContinue();
             }
         } catch (RequestHeadValidator.UnacceptableRequestException e) {
@@ -322,20 +339,59 @@
         cancelReceiveTimer();
     }
 
-    /** Starts an exchange, or queues it behind the current one; if there is no room for it, answers with 429 and closes the connection. */
+    /** Starts an exchange, or queues it behind the current one; if there is no room for it, it is refused when its turn comes. */
     void startOrQueue(ClientExchange next) {
         hadRequest = true;
-        if (exchange == null) {
-            exchange = next;
-            next.begin();
+        if (!owesResponse()) {
+            start(next);
         } else if (!pipelined.offer(next)) {
-            receiver = null;
-            cancelReceiveTimer();
-            next.clientGone();
+            refuse(next);
+        }
+    }
+
+    private void start(ClientExchange next) {
+        exchange = next;
+        refusals = 0;
+        next.begin();
+    }
+
+    /** Refuses a request without keeping it. If it has not been received to its end, its rest is dropped before. */
+    private void refuse(ClientExchange next) {
+        next.clientGone();
+        if (receiver != null) {
+            receiver.discard();
+        } else {
+            refusedRequestCompleted(next.allowsKeepAlive());
+        }
+    }
+
+    /**
+     * Notes that a refused request has been received to its end; it is answered once those before it are.
+     *
+     * @param keepAlive whether its client may send further requests behind it
+     */
+    void refusedRequestCompleted(boolean keepAlive) {
+        hadRequest = true;
+        if (keepAlive) {
+            pipelined.addRefused();
+            sendRefusals();
+        } else {
             closeWith(Frontend.textResponse(HttpResponseStatus.TOO_MANY_REQUESTS, "too much at once"));
         }
     }
 
+    /** Returns a response without a body, which fits a request of any method. */
+    private static FullHttpResponse refusal() {
+        var response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.TOO_MANY_REQUESTS, Unpooled.EMPTY_BUFFER);
+        HttpUtil.setContentLength(response, 0);
+        return response;
+    }
+
+    /** Returns whether a response is owed to a request that has been read whole, or that is being relayed. */
+    private boolean owesResponse() {
+        return exchange != null || !pipelined.isEmpty();
+    }
+
     /**
      * Pauses or resumes reading for a body that is being relayed. Nothing else pauses reading, however many requests are queued, because
      * the client's close may be behind the bytes that are still unread.
@@ -357,16 +413,40 @@
 
     /** Ends the current exchange and starts the next queued one, or closes the connection if it is not kept alive. */
     void exchangeFinished(boolean keepAlive) {
-        exchange = keepAlive ? pipelined.poll() : null;
-        if (exchange != null) {
-            exchange.begin();
-        } else if (!keepAlive) {
+        exchange = null;
+        if (!keepAlive) {
             // Drops what the client has sent after the request that it marked as its last, or after the response that announced the close.
             abandonIncompleteRequest();
             pipelined.abandonAll();
             closing.start();
+        } else if (!startingQueued) {
+            startQueued();
+        }
+    }
+
+    /** Starts queued exchanges until one of them is not finished at once. A loop, because so many may be queued that recursion would fail. */
+    private void startQueued() {
+        startingQueued = true;
+        try {
+            for (ClientExchange next = pipelined.poll(); next != null; next = exchange == null ? pipelined.poll() : null) {
+                start(next);
+            }
+        } finally {
+            startingQueued = false;
+        }
+        if (exchange == null && !closing.isStarted()) {
+            queueEmptied();
+        }
+    }
+
+    private void queueEmptied() {
+        if (pipelined.refusedCount() > 0) {
+            sendRefusals();
         } else if (finalResponse != null) {
             sendFinalResponse();
+        } else if (refusals >= MAX_REFUSALS) {
+            abandonIncompleteRequest();
+            closing.start();
         } else if (receiver != null) {
             receiver.sendContinue();
         } else {
@@ -374,6 +454,27 @@
         }
     }
 
+    /** Answers the refused requests, as far as the client takes the responses and other connections do not have to wait. */
+    private void sendRefusals() {
+        if (writingRefusals || exchange != null || pipelined.refusedCount() == 0 || closing.isStarted() || !channel.isActive()) {
+            return;
+        }
+        writingRefusals = true;
+        int sent = 0;
+        for (; sent < MAX_REFUSALS_PER_TURN && pipelined.refusedCount() > 0 && channel.isWritable(); sent++) {
+            pipelined.refusalSent();
+            refusals++;
+            channel.write(refusal());
+        }
+        channel.flush();
+        writingRefusals = false;
+        if (pipelined.refusedCount() == 0) {
+            queueEmptied();
+        } else if (channel.isWritable()) {
+            channel.eventLoop().execute(this::sendRefusals);
+        }
+    }
+
     /** Notes that a request has been accepted, so that its connection is in use for what it is there for. */
     void requestAccepted() {
         rejections = 0;
@@ -403,7 +504,7 @@
     }
 
     void closeIfIdle() {
-        if (exchange == null && finalResponse == null && !isReceivingRequest()) {
+        if (!owesResponse() && finalResponse == null && !isReceivingRequest()) {
             closing.start();
         }
     }
@@ -419,7 +520,7 @@
         }
         finalResponse = response;
         channel.config().setAutoRead(true);
-        if (exchange == null) {
+        if (!owesResponse()) {
             sendFinalResponse();
         }
     }
--- a/proxy/src/main/java/walkpost/proxy/ClientExchange.java
+++ b/proxy/src/main/java/walkpost/proxy/ClientExchange.java
@@ -363,6 +363,11 @@
         }
     }
 
+    /** Returns whether the client may send further requests behind this one. */
+    boolean allowsKeepAlive() {
+        return HttpUtil.isKeepAlive(head);
+    }
+
     /** Returns the memory that the request takes. */
     int sizeBytes() {
         return headBytes + body.capacity();
--- a/proxy/src/main/java/walkpost/proxy/RequestReceiver.java
+++ b/proxy/src/main/java/walkpost/proxy/RequestReceiver.java
@@ -26,6 +26,8 @@
     private ClientExchange startedExchange;
     /** Bounds when the client has written the body; set together with {@link #startedExchange}. */
     private BodyArrival bodyArrival;
+    /** Whether the request is refused already; the rest of it is read and dropped, because other requests may follow it. */
+    private boolean discarding;
 
     RequestReceiver(Frontend frontend, ClientConnection connection, HttpRequest head) {
         this.frontend = frontend;
@@ -53,11 +55,19 @@
         ByteBuf bytes = content.content();
         connection.bodyBytesReceived(bytes.readableBytes());
         awaitsContinue &= !bytes.isReadable();
+        if (discarding) {
+            completeDiscarded(content);
+            return;
+        }
         if (startedExchange == null && bytes.isReadable()
                 && (body.readableBytes() + bytes.readableBytes() > ServerConnections.MAX_BUFFERED_BODY_BYTES
                         || frontend.memoryBudget.isExhausted())) {
             startRelaying();
         }
+        if (discarding) {
+            completeDiscarded(content);
+            return;
+        }
         if (startedExchange != null) {
             bodyArrival.onRead(bytes.readableBytes());
             startedExchange.relayRequestBody(bytes.retain());
@@ -74,6 +84,19 @@
         }
     }
 
+    private void completeDiscarded(HttpContent content) {
+        if (content instanceof LastHttpContent && connection.isReceiving(this)) {
+            connection.requestCompleted();
+            connection.refusedRequestCompleted(HttpUtil.isKeepAlive(head));
+        }
+    }
+
+    /** Reads and drops the rest of a request whose exchange was refused; it is answered once it has been received. */
+    void discard() {
+        startedExchange = null;
+        discarding = true;
+    }
+
     /** Starts the exchange, with the bytes collected so far as the start of the body. */
     private void startRelaying() {
         connection.unreadInput().trackBacklog();
@@ -111,10 +134,17 @@
 
     /** Returns the memory that is held for this request. */
     int heldBytes() {
+        if (discarding) {
+            return 0;
+        }
         return headBytes + (startedExchange == null ? body.capacity() : startedExchange.heldBodyBytes());
     }
 
+    /** Releases what is held for a request whose exchange has not started. */
     void release() {
+        if (discarding) {
+            return;
+        }
         frontend.memoryBudget.release(headBytes + body.capacity());
         body.release();
     }
