--- a/proxy/src/main/java/walkpost/proxy/DiscoveryRetryPolicy.java
+++ b/proxy/src/main/java/walkpost/proxy/DiscoveryRetryPolicy.java
@@ -17,7 +17,8 @@
  * REJECTED (503, not a list)              back-off                                      -
  * </pre>
  * A valid response and a new address of discovery reset all counts. If a discovery with hundreds of proxies dies, each proxy tries to reach
- * it three times, the first tries spread over 100 ms, and continues at the pace of the back-off; a discovery that rejects calls gets one more call from each proxy.
+ * it three times, the first tries spread over 100 ms, and continues at the pace of the back-off; a discovery that rejects calls gets one
+ * more call from each proxy.
  */
 final class DiscoveryRetryPolicy {
     /** Returned instead of a delay if the next call must wait for the back-off. */
--- a/proxy/src/main/java/walkpost/proxy/ListCallTiming.java
+++ b/proxy/src/main/java/walkpost/proxy/ListCallTiming.java
@@ -34,7 +34,7 @@
  * </pre>
  * After a signal to reload, whatever discovery has counts as published {@link #LIST_DUE_AFTER_SIGNAL_MS} later, and a drain must be obeyed
  * 0.3 s after that. The new address may be unreachable for a part of that time, so failed calls follow each other faster as the deadline
- * comes closer: the back-off is at most half of the time left, or 0.25 s if that is less ({@link walkpost.DiscoveryBackOff#limitUs}). A call
+ * comes closer: the back-off is at most half of the time left, or 0.25 s if that is more ({@link walkpost.DiscoveryBackOff#limitUs}). A call
  * that is open at the deadline may never be answered, so it is hedged within {@link #DEADLINE_HEDGE_SPREAD_MS} before it. If discovery
  * becomes reachable T seconds after the signal, each row must sum up to at most 4.3 s:
  * <pre>
