Hand the list of servers over to the new process of an upgrade, and let it await its own

Cause: the yes depended on 300 ms having passed since the first call to discovery, not on any list. The new process had the list of `known` (its call says from=41) while the old one held 42 with the drain, obeyed it, and was told to end by that yes. Nothing that one process is told reached the other; nothing ended the use of `known` before discovery's first answer.

Change: a process on an inherited listener stores each list that it has from discovery in $TMPDIR/servers (renamed into place, length and checksum in its first line, at most 10 writes a second, on a thread of its own) until a later process stores one. A starting process begins with that list if it replaces `known`, and follows the file until discovery has answered it. While another process serves (a lock that the system ends with its holder) the yes waits for an own list, up to 3 s from the start. Without an inherited listener none of this is loaded. Entries of lists became a typed record on the way.

--- a/proxy/src/main/java/walkpost/proxy/Config.java
+++ b/proxy/src/main/java/walkpost/proxy/Config.java
@@ -179,6 +179,11 @@
         return cores;
     }
 
+    /** Returns an address as {@link #parseAddress} takes it. */
+    static String formatAddress(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
     /**
      * Parses a numeric IP address and a port; returns null if the text is anything else. Host names are not accepted, because there is no
      * DNS, and resolving a name could block.
--- a/proxy/src/main/java/walkpost/proxy/DiscoveryClient.java
+++ b/proxy/src/main/java/walkpost/proxy/DiscoveryClient.java
@@ -1,7 +1,6 @@
 package walkpost.proxy;
 
 import walkpost.Balancer;
-import walkpost.Balancer.BackendState;
 import walkpost.Balancer.ListKind;
 import walkpost.ListDeadlines;
 import walkpost.proxy.ListVersion.Verdict;
@@ -13,7 +12,6 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
@@ -25,6 +23,20 @@
  * connections each. All methods run on the event loop.
  */
 final class DiscoveryClient {
+    /** Is notified of each list that was applied, on the event loop. */
+    interface ListObserver {
+        /**
+         * Called when a list was applied.
+         *
+         * @param kind {@link ListKind#CACHED} for a full list that discovery did not give this process, or {@link ListKind#FULL} or
+         *     {@link ListKind#DELTA}
+         * @param discovery the address of discovery
+         * @param version discovery's number of the list; negative if the next call must request the full list
+         * @param entries the valid entries of the list
+         */
+        void onListApplied(ListKind kind, InetSocketAddress discovery, long version, List<ServerListEntry> entries);
+    }
+
     private static final String PATH = "/v1/endpoints";
     /**
      * How long a starting proxy waits for its first call before it serves with the list of its previous run. If many proxies start at once,
@@ -33,10 +45,6 @@
     static final long INITIAL_WAIT_MS = 300;
     /** The pause before the next call after a response that came early and without changes. */
     private static final long NO_CHANGE_PAUSE_MS = 50;
-    private static final Map<String, BackendState> STATES = Map.of(
-            "ready", BackendState.READY,
-            "draining", BackendState.DRAINING,
-            "gone", BackendState.GONE);
 
     private final EventLoop loop;
     private final EventLog log = new EventLog("discovery");
@@ -53,6 +61,8 @@
     private HedgedCall fullListCall;
     private ListVersion version = ListVersion.NONE;
     private boolean initialWaitOver;
+    private boolean hasListFromDiscovery;
+    private ListObserver listObserver = (kind, discovery, number, entries) -> { };
     private final DiscoveryRetryPolicy retryPolicy = new DiscoveryRetryPolicy();
     private final ServerStartTimes startTimes = new ServerStartTimes();
     private final ListDeadlines deadlines = new ListDeadlines();
@@ -95,18 +105,49 @@
         return initialWaitOver;
     }
 
+    /** Returns whether discovery has given this process a list. */
+    boolean hasListFromDiscovery() {
+        return hasListFromDiscovery;
+    }
+
+    /** Sets who is notified of lists. Called before the start. */
+    void setListObserver(ListObserver observer) {
+        listObserver = observer;
+    }
+
+    /** Starts with the list that another process of this proxy has stored, as {@link #start(JsonNode)} does. */
+    void startWith(StoredServerList stored) {
+        start(stored.discovery().equals(address) ? stored.version() : ListVersion.NONE.number(), stored.entries());
+    }
+
     /** Starts with the list of this proxy's previous run, null if there is none; it is the first list that the balancer gets. */
     void start(JsonNode lastKnownList) {
-        if (lastKnownList != null) {
-            version = new ListVersion(version.epoch(), lastKnownList.path("version").asLong(-1));
+        if (lastKnownList == null) {
+            start(ListVersion.NONE.number(), List.of());
+        } else {
+            start(lastKnownList.path("version").asLong(ListVersion.NONE.number()), validEntries(lastKnownList));
         }
+    }
+
+    private void start(long number, List<ServerListEntry> entries) {
+        version = new ListVersion(version.epoch(), number);
         loop.schedule(() -> initialWaitOver = true, INITIAL_WAIT_MS, TimeUnit.MILLISECONDS);
-        balancerDriver.updateServerList(ListKind.CACHED, lastKnownList == null ? List.of() : validEntries(lastKnownList));
+        apply(ListKind.CACHED, entries);
         if (pushed) {
             setWatching(true);
         }
     }
 
+    /** Applies a list that another process of this proxy got from discovery, unless discovery has given this process a list. */
+    void adopt(StoredServerList stored) {
+        if (hasListFromDiscovery) {
+            return;
+        }
+        version = stored.discovery().equals(address) ? version.adopt(stored.version()) : version.startEpoch();
+        log.info("list_adopted", "version", stored.version(), "servers", stored.entries().size());
+        apply(ListKind.CACHED, stored.entries());
+    }
+
     /** Opens the watch or closes it; a watch that is open already continues unchanged. */
     void setWatching(boolean on) {
         watchWanted = on;
@@ -201,7 +242,7 @@
             log.warn("list_out_of_order", "version", number, "full", full, "holding", version.number(), "verdict", verdict);
         }
         version = version.after(verdict, number);
-        List<ServerConnections.ListedServer> entries = validEntries(list);
+        List<ServerListEntry> entries = validEntries(list);
         if (verdict == Verdict.TAKE && !full && entries.size() < list.path("servers").size()) {
             // A malformed entry is a lost change, which may have been a drain: only the full list can replace it.
             version = version.startEpoch();
@@ -219,8 +260,10 @@
             loop.schedule(() -> continueWatch(call), NO_CHANGE_PAUSE_MS, TimeUnit.MILLISECONDS);
         }
         if (verdict == Verdict.TAKE || verdict == Verdict.TAKE_ANEW) {
+            hasListFromDiscovery = true;
+            ListKind kind = full ? ListKind.FULL : ListKind.DELTA;
+            apply(kind, entries);
             startTimes.listApplied(balancerDriver.nowUs());
-            balancerDriver.updateServerList(full ? ListKind.FULL : ListKind.DELTA, entries);
         }
     }
 
@@ -243,35 +286,30 @@
     }
 
     /** Returns the valid entries of a list and logs the others. */
-    private List<ServerConnections.ListedServer> validEntries(JsonNode list) {
-        var listed = new ArrayList<ServerConnections.ListedServer>();
-        long nowUs = balancerDriver.nowUs();
-        for (JsonNode entry : list.path("servers")) {
-            startTimes.observeStart(entry.path("started_ms").asLong(), nowUs);
-        }
-        for (JsonNode entry : list.path("servers")) {
-            ServerConnections.ListedServer parsed = parseEntry(entry, nowUs);
-            if (parsed == null) {
-                log.warn("entry_left_out", "reason", "malformed", "entry", entry);
+    private List<ServerListEntry> validEntries(JsonNode list) {
+        var valid = new ArrayList<ServerListEntry>();
+        for (JsonNode json : list.path("servers")) {
+            ServerListEntry entry = ServerListEntry.parse(json);
+            if (entry == null) {
+                log.warn("entry_left_out", "reason", "malformed", "entry", json);
             } else {
-                listed.add(parsed);
+                valid.add(entry);
             }
         }
-        return listed;
+        return valid;
     }
 
-    /** Parses an entry; returns null if it is malformed. */
-    private ServerConnections.ListedServer parseEntry(JsonNode entry, long nowUs) {
-        BackendState state = STATES.get(entry.path("state").asText());
-        InetSocketAddress address = Config.parseAddress(entry.path("addr").asText());
-        String id = entry.path("id").asText();
-        double weight = entry.path("weight").asDouble(1);
-        if (state == null || address == null || id.isEmpty() || !(weight > 0) || Double.isInfinite(weight)) {
-            return null;
-        }
-        return new ServerConnections.ListedServer(new Balancer.Backend(id, state, entry.path("kind").asText(null),
-                entry.path("zone").asText(null), entry.path("cell").asInt(),
-                startTimes.onProxyClockUs(id, entry.path("started_ms").asLong(), nowUs), weight), address);
+    /** Passes a list on to the balancer, with the start times of its servers on the proxy's clock. */
+    private void apply(ListKind kind, List<ServerListEntry> entries) {
+        long nowUs = balancerDriver.nowUs();
+        entries.forEach(entry -> startTimes.observeStart(entry.startedMs(), nowUs));
+        balancerDriver.updateServerList(kind, entries.stream().map(entry -> onProxyClock(entry, nowUs)).toList());
+        listObserver.onListApplied(kind, address, version.number(), entries);
+    }
+
+    private ServerConnections.ListedServer onProxyClock(ServerListEntry entry, long nowUs) {
+        return new ServerConnections.ListedServer(new Balancer.Backend(entry.id(), entry.state(), entry.kind(), entry.zone(),
+                entry.cell(), startTimes.onProxyClockUs(entry.id(), entry.startedMs(), nowUs), entry.weight()), entry.address());
     }
 
     /** One call to discovery with its parallel hedge calls; the first valid response ends all of them. */
--- /dev/null
+++ b/proxy/src/main/java/walkpost/proxy/ListHandover.java
@@ -0,0 +1,186 @@
+package walkpost.proxy;
+
+import io.netty.channel.EventLoop;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.DirectoryIteratorException;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import walkpost.Balancer.BackendState;
+import walkpost.Balancer.ListKind;
+
+/**
+ * Hands the list of servers over from one process of a proxy to the next, through a file in the directory that both use. During an upgrade
+ * the rules see one proxy: what discovery told the old process binds the new one, also while discovery does not answer the new one.
+ *
+ * <p>A process stores the lists that discovery gives it from its readiness on, and goes on during its shutdown until a later process has
+ * stored one. A process that starts reads the file, and follows it until discovery has given it a list. From a list at one process until it
+ * is in use at the other it takes {@link #STORE_INTERVAL_MS} and {@link #FOLLOW_INTERVAL_MS} at most, besides the work itself; a drain has
+ * to be obeyed within 300 ms.
+ *
+ * <p>Files are read and written on a thread of its own. {@link #onListApplied} and {@link #onReady} run on the event loop, all other
+ * methods on any thread.
+ */
+final class ListHandover implements DiscoveryClient.ListObserver {
+    /** How often a process without a list from discovery looks for a new list in the file. */
+    private static final long FOLLOW_INTERVAL_MS = 50;
+    /** How often a process stores its list if it is a new one, which bounds what bursts of changes cost. */
+    private static final long STORE_INTERVAL_MS = 100;
+    /** How often a process makes sure that the file still holds its list, in store intervals. */
+    private static final int STORE_INTERVALS_PER_CHECK = 10;
+    private static final String FILE = "servers";
+    private static final String LOCK = "serving";
+    private static final long NO_VERSION = -1;
+
+    private final EventLog log = new EventLog("handover");
+    private final EventLoop loop;
+    private final String proxy;
+    /** The number of the last known list in the configuration; negative if there is none. */
+    private final long knownVersion;
+    private final StoredServerList.WriterId self = new StoredServerList.WriterId(System.nanoTime());
+    private final ServerListFile file;
+    private final StoredListReader reader;
+    private final StoredListWriter writer;
+    /** Null if its file can't be opened; no other process is known to serve then. */
+    private final ServingLock lock;
+    private final ScheduledExecutorService executor = new ScheduledThreadPoolExecutor(1, ListHandover::newThread);
+
+    /** All servers on the list that this process has, by id. Used on the event loop only. */
+    private final Map<String, ServerListEntry> entriesById = new LinkedHashMap<>();
+    /** The latest list that discovery gave this process; null if it gave none. */
+    private volatile StoredServerList ownList;
+    /** The list that was stored or checked last. Used on the executor's thread only. */
+    private StoredServerList checkedList;
+    private int intervalsSinceCheck;
+
+    /**
+     * Creates the handover of a process that starts.
+     *
+     * @param directory the directory that all processes of this proxy use; if it can't be written, nothing is handed over
+     */
+    ListHandover(EventLoop loop, Config config, Path directory) {
+        this.loop = loop;
+        proxy = config.name();
+        knownVersion = config.lastKnownList() == null ? NO_VERSION : config.lastKnownList().path("version").asLong(NO_VERSION);
+        file = new ServerListFile(directory.resolve(FILE), self);
+        reader = new StoredListReader(file, proxy, self);
+        writer = new StoredListWriter(file, self, System::nanoTime);
+        lock = openLock(directory.resolve(LOCK));
+    }
+
+    private static Thread newThread(Runnable task) {
+        var thread = new Thread(task, "list-handover");
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    private ServingLock openLock(Path path) {
+        try {
+            return ServingLock.open(path);
+        } catch (IOException e) {
+            log.warn("lock_not_opened", "reason", e);
+            return null;
+        }
+    }
+
+    /** Returns whether another process of this proxy is ready for clients and has not begun its shutdown. */
+    boolean isOtherProcessServing() {
+        return lock != null && lock.isHeldByOther();
+    }
+
+    /**
+     * Returns the list that another process has stored, if it replaces the last known list in the configuration.
+     *
+     * @param discovery the address of discovery in the configuration
+     */
+    Optional<StoredServerList> readAtStart(InetSocketAddress discovery) {
+        try {
+            file.deleteUnfinished();
+        } catch (IOException | DirectoryIteratorException e) {
+            log.warn("unfinished_file_not_deleted", "reason", e);
+        }
+        boolean otherServes = isOtherProcessServing();
+        Optional<StoredServerList> stored = reader.readNew().filter(list -> list.replaces(knownVersion, discovery, otherServes));
+        stored.ifPresent(list -> log.info("list_taken_over", "version", list.version(), "servers", list.entries().size(), "other_process",
+                otherServes ? "serving" : "not serving"));
+        return stored;
+    }
+
+    /** Passes each further list that another process stores to a client, until discovery gives this process a list. */
+    void follow(DiscoveryClient client) {
+        repeat(FOLLOW_INTERVAL_MS, () -> {
+            if (ownList == null) {
+                reader.readNew().ifPresent(list -> loop.execute(() -> client.adopt(list)));
+            }
+        });
+    }
+
+    /** Repeats a task on the executor; a failure ends this run of it only. */
+    private void repeat(long intervalMs, Runnable task) {
+        executor.scheduleWithFixedDelay(() -> {
+            try {
+                task.run();
+            } catch (RuntimeException | OutOfMemoryError e) {
+                log.error("handover_failed", e);
+            }
+        }, 0, intervalMs, TimeUnit.MILLISECONDS);
+    }
+
+    /** Shows other processes that this one serves, and stores its lists from now on. */
+    void onReady() {
+        repeat(STORE_INTERVAL_MS, this::storeOwnList);
+    }
+
+    private void storeOwnList() {
+        if (lock != null) {
+            lock.tryHold();
+        }
+        StoredServerList list = ownList;
+        intervalsSinceCheck++;
+        if (list != null && (list != checkedList || intervalsSinceCheck >= STORE_INTERVALS_PER_CHECK)) {
+            writer.store(list);
+            checkedList = list;
+            intervalsSinceCheck = 0;
+        }
+    }
+
+    /** Shows other processes that this one does not serve any more. */
+    void onShutdown() {
+        if (lock != null) {
+            lock.release();
+        }
+    }
+
+    /** Ends the handover. */
+    void stop() {
+        executor.shutdownNow();
+        onShutdown();
+    }
+
+    @Override
+    public void onListApplied(ListKind kind, InetSocketAddress discovery, long version, List<ServerListEntry> entries) {
+        if (kind != ListKind.DELTA) {
+            entriesById.clear();
+        }
+        for (ServerListEntry entry : entries) {
+            if (entry.state() == BackendState.GONE) {
+                entriesById.remove(entry.id());
+            } else {
+                entriesById.put(entry.id(), entry);
+            }
+        }
+        if (kind == ListKind.CACHED) {
+            return;
+        }
+        if (ownList == null) {
+            log.info("first_list", "version", version);
+        }
+        ownList = new StoredServerList(proxy, self, discovery, version, knownVersion, List.copyOf(entriesById.values()));
+    }
+}
--- a/proxy/src/main/java/walkpost/proxy/ListVersion.java
+++ b/proxy/src/main/java/walkpost/proxy/ListVersion.java
@@ -62,6 +62,14 @@
         };
     }
 
+    /**
+     * Returns the version of a list that another process of this proxy got from the same discovery. A lower number shows that discovery has
+     * restarted since this process got its number.
+     */
+    ListVersion adopt(long adoptedNumber) {
+        return new ListVersion(adoptedNumber < number ? epoch + 1 : epoch, adoptedNumber);
+    }
+
     /** Returns the version at the start of a new epoch, without a list, so that responses to earlier calls are dropped. */
     ListVersion startEpoch() {
         return new ListVersion(epoch + 1, -1);
--- a/proxy/src/main/java/walkpost/proxy/Serve.java
+++ b/proxy/src/main/java/walkpost/proxy/Serve.java
@@ -11,6 +11,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.HashMap;
+import java.util.Optional;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 
@@ -25,6 +26,11 @@
     private static final double HELD_DIRECT_SHARE = 0.5;
     /** How long the start waits for a server to send to. It then accepts clients anyway, because no other proxy may be there. */
     private static final long READY_TIMEOUT_MS = 5_000;
+    /**
+     * How long after its start the new process of an upgrade waits for a list from discovery while the old one serves. The platform allows
+     * 6 s from the start of the process until it is ready.
+     */
+    private static final long LIST_WAIT_MS = 3_000;
     /** The subdirectory of the writable directory that stores the exclusions ordered at this proxy's operator endpoint. */
     private static final String EXCLUDED = "excluded";
     /** The subdirectory of the writable directory that stores the exclusions ordered through the fleet. */
@@ -46,6 +52,9 @@
     private final ExcludedServers excludedServers;
     private final ExclusionStore exclusions;
     private final GracefulShutdown shutdown;
+    /** Null unless other processes of this proxy may serve over the same listening socket. */
+    private final ListHandover handover;
+    private final long startedAtUs;
     /** The proxy's membership in the fleet; null if it is in no fleet. */
     private volatile FleetAccess fleet;
 
@@ -61,6 +70,7 @@
         this.config = config;
         this.clock = clock;
         this.environment = environment;
+        startedAtUs = clock.nowUs();
         if (sharesListener()) {
             EventLog.reopenErrorStream();
         }
@@ -80,6 +90,7 @@
         shutdown = new GracefulShutdown(clock, loop, frontend, balancerDriver.loopMonitor(), sharesListener(), config.name());
         excludedServers = new ExcludedServers(balancerDriver);
         exclusions = new ExclusionStore(loop, excludedServers, environment.tempDir().resolve(EXCLUDED), "operators");
+        handover = sharesListener() ? new ListHandover(loop, config, environment.tempDir()) : null;
     }
 
     /** Returns the ids that must not run twice; in an upgrade both processes share them. */
@@ -184,7 +195,7 @@
      * @return the address of the operator endpoint, or null if there is none
      */
     InetSocketAddress start() throws Config.InvalidConfigException {
-        loop.execute(() -> discovery.start(config.lastKnownList()));
+        startDiscovery();
         if (environment.fleetOpener() != null) {
             var fleetExclusions = new ExclusionStore(loop, excludedServers, environment.tempDir().resolve(EXCLUDED_BY_FLEET), "fleet");
             fleet = ProxyFleetMember.join(environment.fleetOpener(), sharesListener(), loop, clock, fleetExclusions, this::status);
@@ -197,6 +208,17 @@
         return bind("operator", () -> endpoint.listen(loop, environment.operatorAddress(), failures));
     }
 
+    private void startDiscovery() {
+        Optional<StoredServerList> stored = Optional.empty();
+        if (handover != null) {
+            discovery.setListObserver(handover);
+            stored = handover.readAtStart(config.discovery());
+            handover.follow(discovery);
+        }
+        Runnable start = stored.<Runnable>map(list -> () -> discovery.startWith(list)).orElse(() -> discovery.start(config.lastKnownList()));
+        loop.execute(start);
+    }
+
     private FleetAccess.ProxyStatus status() {
         String version = Serve.class.getPackage().getImplementationVersion();
         return new FleetAccess.ProxyStatus(frontend.isReady(), balancerDriver.openRequests(), serverConnections.availableCount(),
@@ -240,14 +262,21 @@
     private void listenOnceReady(long latestUs) {
         if (shutdown.hasBegun()) {
             shutdown.allClientsGone();
-        } else if (canServe() || clock.nowUs() >= latestUs) {
+        } else if (canServe() && !awaitsList() || clock.nowUs() >= latestUs) {
             frontend.listen(loop, environment.inheritedListener(), failures, shutdown::watchForLastClient);
+            handover.onReady();
             log.info("listening", "proxy", config.name(), "socket", "inherited");
         } else {
             loop.schedule(() -> listenOnceReady(latestUs), READY_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
         }
     }
 
+    /** Returns whether a list from discovery is still waited for, while another process serves the clients. */
+    private boolean awaitsList() {
+        return !discovery.hasListFromDiscovery() && clock.nowUs() < startedAtUs + TimeUnit.MILLISECONDS.toMicros(LIST_WAIT_MS)
+                && handover.isOtherProcessServing();
+    }
+
     private boolean canServe() {
         return discovery.isInitialWaitOver() && serverConnections.availableCount() > 0;
     }
@@ -314,6 +343,9 @@
 
     /** Answers all accepted requests. Returns when the process is to end; false if its event loop has ended before. */
     boolean drain() {
+        if (handover != null) {
+            handover.onShutdown();
+        }
         long longestDeadlineMs = config.settings().classes().stream().mapToLong(c -> c.deadlineUs()).max().orElse(0) / 1_000;
         return shutdown.run(longestDeadlineMs, this::leaveFleet);
     }
@@ -328,6 +360,9 @@
 
     /** Stops at once, without waiting for open requests. */
     void stop() {
+        if (handover != null) {
+            handover.stop();
+        }
         if (fleet != null) {
             fleet.close();
         }
--- a/proxy/src/test/java/walkpost/proxy/FakeServer.java
+++ b/proxy/src/test/java/walkpost/proxy/FakeServer.java
@@ -40,18 +40,28 @@
     /** Accepts all connections from now on and answers each request with the same response, on threads of its own; returns the requests. */
     BlockingQueue<RawConnection.Message> answerAll(String response) {
         var requests = new LinkedBlockingQueue<RawConnection.Message>();
+        acceptAll(connection -> {
+            for (RawConnection.Message request = connection.read(); request != null; request = connection.read()) {
+                requests.add(request);
+                connection.send(response);
+            }
+        });
+        return requests;
+    }
+
+    /** Accepts all connections from now on, and handles each on a thread of its own. */
+    void acceptAll(ConnectionHandler handler) {
         background(() -> {
             while (true) {
                 RawConnection connection = accept();
-                background(() -> {
-                    for (RawConnection.Message request = connection.read(); request != null; request = connection.read()) {
-                        requests.add(request);
-                        connection.send(response);
-                    }
-                });
+                background(() -> handler.handle(connection));
             }
         });
-        return requests;
+    }
+
+    /** Handles one connection. */
+    interface ConnectionHandler {
+        void handle(RawConnection connection) throws IOException;
     }
 
     static String okResponse(String body) {
--- a/proxy/src/test/java/walkpost/proxy/ProxyFixture.java
+++ b/proxy/src/test/java/walkpost/proxy/ProxyFixture.java
@@ -213,9 +213,14 @@
         serve.drain();
     }
 
+    /** Stops the proxy at once. */
+    void stop() {
+        serve.stop();
+    }
+
     @Override
     public void close() throws IOException {
-        serve.stop();
+        stop();
         discovery.close();
     }
 }
