Make the 2 s after the readiness of an upgrade's new process a deadline for its list

Cause: "What discovery tells binds 2 s after the yes" stood in no sum. A back-off of up to 2.4 s could begin just before the yes, and a silent call was hedged by its own age (2 and 4 s) alone.

Change: a process that becomes ready on a shared listener without a list from discovery sets the deadline that SIGHUP sets for its 4 s (ListDeadline, no new event): hedged within 0.2 s before it, and the back-off at most half of the time left. A back-off that is under way when a deadline is added is shortened (for SIGHUP a request followed at once anyway).

--- a/proxy/src/main/java/walkpost/ListRequestSchedule.java
+++ b/proxy/src/main/java/walkpost/ListRequestSchedule.java
@@ -62,9 +62,13 @@
         requestAt = NO_REQUEST_DUE;
     }
 
-    /** Adds a time from which whatever discovery has counts as published. */
-    void addDeadline(long atUs, long now) {
+    /** Adds a time from which whatever discovery has counts as published; a back-off that is longer than allowed before it is shortened. */
+    void addDeadline(long atUs, long now, Consumer<Action> actions) {
         deadlines.add(atUs, now);
+        long limitUs = DiscoveryBackOff.limitUs(deadlines.leftUs(now));
+        if (failedCalls > 0 && requestAt != NO_REQUEST_DUE && requestAt - now > limitUs) {
+            schedule((long) (limitUs * (1 + random.nextDouble()) / 2), now, actions);
+        }
     }
 
     private void schedule(long delayUs, long now, Consumer<Action> actions) {
--- a/proxy/src/main/java/walkpost/Policy.java
+++ b/proxy/src/main/java/walkpost/Policy.java
@@ -223,7 +223,7 @@
         } else if (event instanceof ListUpdate e) {
             listUpdated(e);
         } else if (event instanceof ListDeadline e) {
-            listRequests.addDeadline(e.atUs(), now);
+            listRequests.addDeadline(e.atUs(), now, actions);
         } else if (event instanceof SettingsChanged e) {
             applySettings(e.settings());
             refreshWeights();
--- a/proxy/src/main/java/walkpost/proxy/DiscoveryClient.java
+++ b/proxy/src/main/java/walkpost/proxy/DiscoveryClient.java
@@ -161,12 +161,11 @@
     }
 
     /**
-     * Takes note of a signal to reload the configuration: some time after it, whatever discovery has counts as published to this proxy.
+     * Sets a time from which whatever discovery has counts as published to this proxy.
      *
-     * @param signalledAtUs the time of the signal, on the proxy's clock
+     * @param dueAtUs the time on the proxy's clock, in microseconds
      */
-    void onReloadSignal(long signalledAtUs) {
-        long dueAtUs = signalledAtUs + TimeUnit.MILLISECONDS.toMicros(ListCallTiming.LIST_DUE_AFTER_SIGNAL_MS);
+    void setListDue(long dueAtUs) {
         long nowUs = balancerDriver.nowUs();
         deadlines.add(dueAtUs, nowUs);
         balancerDriver.listIsDue(dueAtUs);
--- a/proxy/src/main/java/walkpost/proxy/ListCallTiming.java
+++ b/proxy/src/main/java/walkpost/proxy/ListCallTiming.java
@@ -43,7 +43,11 @@
  * the same for T from 3.5 to 4.0                    T + 0.25                          4.05 s - T
  * not connected, silent, 503 or broken off later    4.0, for T up to 3.8              0.3
  * </pre>
- * If the hedge call of a silent call falls silent as well, the next one follows 1.95 s later, and a change missed by the second silence
+ * For the new process of an upgrade that becomes ready without a list from discovery, the same holds {@link #LIST_DUE_AFTER_READY_MS} after
+ * its readiness: each row with 2.0 in place of 4.0, and T counted from the readiness. A back-off that is under way is shortened at once.
+ * What discovery told the old process is there at the readiness already ({@link ListHandover}).
+ *
+ * <p>If the hedge call of a silent call falls silent as well, the next one follows 1.95 s later, and a change missed by the second silence
  * counts 6 s after it: 3.5 s are needed. A change missed by the first silence is then late by up to 1.6 s, for waits over 2.4 s. This is
  * accepted: no scenario that the proxy has to handle has two silences in a row, and when proxies called sooner, discovery rejected calls in
  * scenarios with one silence.
@@ -81,6 +85,8 @@
     private static final int MAX_HEDGE_RETRY_DOUBLINGS = 4;
     /** How long after a signal to reload everything that discovery has counts as published to this proxy. */
     static final long LIST_DUE_AFTER_SIGNAL_MS = 4_000;
+    /** How long after the readiness of the new process of an upgrade everything that discovery has counts as published to it. */
+    static final long LIST_DUE_AFTER_READY_MS = 2_000;
     /** The hedge calls of many proxies that got the same signal are spread over this time before the deadline. */
     private static final long DEADLINE_HEDGE_SPREAD_MS = 200;
     /** A hedge call that is due anyway so soon after the deadline takes the place of the one before it. */
--- a/proxy/src/main/java/walkpost/proxy/Serve.java
+++ b/proxy/src/main/java/walkpost/proxy/Serve.java
@@ -264,6 +264,9 @@
             shutdown.allClientsGone();
         } else if (canServe() && !awaitsList() || clock.nowUs() >= latestUs) {
             frontend.listen(loop, environment.inheritedListener(), failures, shutdown::watchForLastClient);
+            if (!discovery.hasListFromDiscovery()) {
+                discovery.setListDue(clock.nowUs() + TimeUnit.MILLISECONDS.toMicros(ListCallTiming.LIST_DUE_AFTER_READY_MS));
+            }
             handover.onReady();
             log.info("listening", "proxy", config.name(), "socket", "inherited");
         } else {
@@ -326,7 +329,7 @@
             config = next;
             frontend.applySettings(next.settings());
             serverConnections.setTimeouts(next.connIdleUs(), next.connectTimeoutUs());
-            discovery.onReloadSignal(signalledAtUs);
+            discovery.setListDue(signalledAtUs + TimeUnit.MILLISECONDS.toMicros(ListCallTiming.LIST_DUE_AFTER_SIGNAL_MS));
             discovery.applySettings(next.settings());
             balancerDriver.settingsChanged(next.settings());
             discovery.changeAddress(next.discovery());
--- a/proxy/src/test/java/walkpost/proxy/ListClientSimulation.java
+++ b/proxy/src/test/java/walkpost/proxy/ListClientSimulation.java
@@ -106,13 +106,20 @@
         /** Takes a signal to reload, with its deadline for the list or without. */
         void reload(Config config, InetSocketAddress address, boolean withDeadline) {
             if (withDeadline) {
-                client.onReloadSignal(clock.nowUs());
+                client.setListDue(clock.nowUs() + TimeUnit.MILLISECONDS.toMicros(ListCallTiming.LIST_DUE_AFTER_SIGNAL_MS));
             }
             client.applySettings(config.settings());
             driver.settingsChanged(config.settings());
             client.changeAddress(address);
         }
 
+        /** Becomes ready as the new process of an upgrade, as {@link Serve} does. */
+        void becomeReady() {
+            if (!client.hasListFromDiscovery()) {
+                client.setListDue(clock.nowUs() + TimeUnit.MILLISECONDS.toMicros(ListCallTiming.LIST_DUE_AFTER_READY_MS));
+            }
+        }
+
         void fetchFullList() {
             client.fetchFullList();
         }
--- a/proxy/src/test/java/walkpost/proxy/ListHandoverTest.java
+++ b/proxy/src/test/java/walkpost/proxy/ListHandoverTest.java
@@ -172,8 +172,8 @@
         call.read();
         String stays = ProxyFixture.serverEntry("s0", staying.address(), "ready");
         String leaves = ProxyFixture.serverEntry("s1", leaving.address(), change == null ? "ready" : "draining");
-        String list = change == Change.GONE ? ProxyFixture.serverList(version, full, stays) : ProxyFixture.serverList(version, full, stays, leaves);
-        call.send(FakeServer.okResponse(list));
+        String[] entries = change == Change.GONE ? new String[] {stays} : new String[] {stays, leaves};
+        call.send(FakeServer.okResponse(ProxyFixture.serverList(version, full, entries)));
     }
 
     /** Waits until the old process has stored a list. */
--- a/proxy/src/test/java/walkpost/proxy/ReloadDeadlineTest.java
+++ b/proxy/src/test/java/walkpost/proxy/ReloadDeadlineTest.java
@@ -18,16 +18,6 @@
  * may find the proxy. Each row is the sum at {@link ListCallTiming}: the list must be there before a drain that it tells has to be obeyed.
  */
 class ReloadDeadlineTest {
-    /** What happens to calls while the new discovery is in trouble. */
-    private enum Fault {
-        REJECTED, REJECTED_AFTER_TWO_SECONDS, CLOSED, CLOSED_LATE, REFUSED, NO_CONNECTION, SILENT, BROKEN_OFF, BROKEN_OFF_LATE,
-        NO_DESCRIPTOR, MIXED;
-
-        private boolean endsAtOnce() {
-            return this == REJECTED || this == CLOSED || this == REFUSED || this == BROKEN_OFF;
-        }
-    }
-
     /** What the proxy was doing when the signal came. */
     private enum Before {
         WATCHING, BACKING_OFF, JUST_STARTED, SILENT_CALL, FETCHING, SAME_ADDRESS, LISTS_WERE_PUSHED,
@@ -56,12 +46,13 @@
     private static final long STEP_MS = 10;
 
     static Stream<Arguments> cells() {
-        return Arrays.stream(Fault.values()).flatMap(fault -> Arrays.stream(Before.values()).map(before -> Arguments.of(fault, before)));
+        return Arrays.stream(DiscoveryFault.values())
+                .flatMap(fault -> Arrays.stream(Before.values()).map(before -> Arguments.of(fault, before)));
     }
 
     @ParameterizedTest
     @MethodSource("cells")
-    void receivesTheListBeforeDrainsCountThoughTheNewDiscoveryIsInTroubleAtFirst(Fault fault, Before before) {
+    void receivesTheListBeforeDrainsCountThoughTheNewDiscoveryIsInTroubleAtFirst(DiscoveryFault fault, Before before) {
         for (boolean pushed : new boolean[] {false, true}) {
             for (long withinMs : ASK_WITHIN_MS) {
                 for (int seed = 0; seed < SEEDS; seed++) {
@@ -111,14 +102,15 @@
         int watches = reload.before == Before.FETCHING ? 2 : 1;
         assertThat(reload.proxy.maxOpenCalls).as("calls open at once, %s", reload).isLessThanOrEqualTo(4 * watches);
         // Calls that this machine could not make and calls of an agent are no load on a shared service; settings may require more calls.
-        if (reload.fault != Fault.NO_DESCRIPTOR && reload.fault != Fault.MIXED && !reload.pushed && reload.withinMs >= RARE_ASKING_MS) {
+        if (reload.fault != DiscoveryFault.NO_DESCRIPTOR && reload.fault != DiscoveryFault.MIXED && !reload.pushed
+                && reload.withinMs >= RARE_ASKING_MS) {
             assertThat(reload.callsUntilDrainsCount()).as("calls, %s", reload).isLessThanOrEqualTo(MAX_CALLS * watches);
         }
     }
 
     /** One reload, played with one seed. */
     private static final class Reload {
-        private final Fault fault;
+        private final DiscoveryFault fault;
         private final Before before;
         private final long troubleMs;
         private final boolean pushed;
@@ -130,7 +122,7 @@
         private long troubleFromMs = Long.MAX_VALUE;
         private long signalMs = Long.MAX_VALUE;
 
-        Reload(Fault fault, Before before, long troubleMs, long withinMs, boolean pushed, int seed) {
+        Reload(DiscoveryFault fault, Before before, long troubleMs, long withinMs, boolean pushed, int seed) {
             this.fault = fault;
             this.before = before;
             this.troubleMs = troubleMs;
@@ -171,7 +163,7 @@
             if (nowMs < troubleFromMs) {
                 onCallBeforeSignal(call);
             } else if (nowMs < signalMs + troubleMs) {
-                fail(call, fault == Fault.MIXED ? Fault.values()[random.nextInt(Fault.MIXED.ordinal())] : fault);
+                fault.fail(call, random);
             } else {
                 call.respondAfter(call.holdMs() + RESPONSE_MS, 42);
             }
@@ -185,21 +177,6 @@
             }
         }
 
-        private void fail(ListClientSimulation.Call call, Fault how) {
-            switch (how) {
-                case REJECTED -> call.failAfter(1, CallFailure.REJECTED);
-                case REJECTED_AFTER_TWO_SECONDS -> call.failAfter(2_000, CallFailure.REJECTED);
-                case CLOSED -> call.failAfter(1, CallFailure.ENDED_UNANSWERED);
-                case CLOSED_LATE -> call.failAfter(random.nextInt(2_000), CallFailure.ENDED_UNANSWERED);
-                case REFUSED -> call.failAfter(1, CallFailure.UNREACHABLE);
-                case NO_CONNECTION -> call.failAfter(call.connectTimeoutMs, CallFailure.UNREACHABLE);
-                case BROKEN_OFF -> call.failAfter(1, CallFailure.BROKEN_ANSWER);
-                case BROKEN_OFF_LATE -> call.failAfter(random.nextInt(2_000), CallFailure.BROKEN_ANSWER);
-                case NO_DESCRIPTOR -> call.failAfter(1, CallFailure.LOCAL);
-                default -> { }
-            }
-        }
-
         /** Returns when the first list after the trouble arrived, from the signal; lists before do not tell what changed since. */
         long receivedAfterMs() {
             long receivedMs = proxy.firstListAfterMs(signalMs + troubleMs);
--- a/proxy/src/test/java/walkpost/proxy/ReloadHerd.java
+++ b/proxy/src/test/java/walkpost/proxy/ReloadHerd.java
@@ -7,10 +7,11 @@
 import java.util.Random;
 
 /**
- * Measures what a fleet asks of discovery after a signal that all its proxies get within moments, with and without the deadline that the signal
- * sets. A program, not a test: {@code ReloadHerd PROXIES CALL_MS SLOTS REJECT_AT_ONCE_MS SEED}. Discovery answers {@code SLOTS} calls at a
- * time, each in {@code CALL_MS}, in turn, and rejects a call after 2 s in the queue; for {@code REJECT_AT_ONCE_MS} after the signal it rejects
- * each call at once. Watches that go on are answered out of turn.
+ * Measures what a fleet asks of discovery after a signal that all its proxies get within moments, or in an upgrade of all of them, with and
+ * without the deadline that this sets. A program, not a test: {@code ReloadHerd PROXIES CALL_MS SLOTS REJECT_AT_ONCE_MS SEED [upgrade]}.
+ * Discovery answers {@code SLOTS} calls at a time, each in {@code CALL_MS}, in turn, and rejects a call after 2 s in the queue; for
+ * {@code REJECT_AT_ONCE_MS} after the signal, or after the start of the upgrade, it rejects each call at once. Watches that go on are
+ * answered out of turn. A new process of an upgrade is ready with its first list, and after 3 s at the latest.
  */
 final class ReloadHerd {
     private static final InetSocketAddress NEW_ADDRESS = new InetSocketAddress("127.0.0.1", 2);
@@ -23,6 +24,8 @@
     private static final long DRAINS_COUNT_MS = 4_300;
     private static final long END_MS = 60_000;
     private static final long ASK_WITHIN_MS = 20_000;
+    private static final long LIST_WAIT_MS = 3_000;
+    private static final String NO_WAIT = "hold_ms=0";
 
     private record QueuedCall(ListClientSimulation.Call call, long sinceMs) { }
 
@@ -30,6 +33,7 @@
     private final long callMs;
     private final long rejectAtOnceMs;
     private final boolean withDeadline;
+    private final boolean upgrade;
     private final Random random;
     private final ListClientSimulation simulation = new ListClientSimulation(this::onCall, 1);
     private final ArrayDeque<QueuedCall> queue = new ArrayDeque<>();
@@ -37,12 +41,13 @@
     private int freeSlots;
     private int rejected;
 
-    private ReloadHerd(int proxies, long callMs, int slots, long rejectAtOnceMs, long seed, boolean withDeadline) {
+    private ReloadHerd(int proxies, long callMs, int slots, long rejectAtOnceMs, long seed, boolean withDeadline, boolean upgrade) {
         this.proxies = proxies;
         this.callMs = callMs;
         this.freeSlots = slots;
         this.rejectAtOnceMs = rejectAtOnceMs;
         this.withDeadline = withDeadline;
+        this.upgrade = upgrade;
         random = new Random(seed);
     }
 
@@ -50,30 +55,57 @@
     public static void main(String[] args) {
         for (boolean withDeadline : new boolean[] {false, true}) {
             new ReloadHerd(Integer.parseInt(args[0]), Long.parseLong(args[1]), Integer.parseInt(args[2]), Long.parseLong(args[3]),
-                    Long.parseLong(args[4]), withDeadline).run();
+                    Long.parseLong(args[4]), withDeadline, args.length > 5 && args[5].equals("upgrade")).run();
         }
     }
 
     private void run() {
         var fleet = new ArrayList<ListClientSimulation.Proxy>();
+        if (upgrade) {
+            simulation.runUntil(SIGNAL_MS);
+            startNewProcesses(fleet);
+        } else {
+            startAll(fleet);
+            simulation.runUntil(SIGNAL_MS);
+            reloadAll(fleet);
+        }
+        while (simulation.nowMs() < END_MS && receivedAfterMs(fleet).size() < proxies) {
+            simulation.runUntil(simulation.nowMs() + 100);
+        }
+        report(receivedAfterMs(fleet));
+        simulation.close();
+    }
+
+    private void startAll(List<ListClientSimulation.Proxy> fleet) {
         for (int i = 0; i < proxies; i++) {
             fleet.add(simulation.new Proxy(ListClientSimulation.config(random.nextLong(), ASK_WITHIN_MS, false)));
         }
-        simulation.runUntil(SIGNAL_MS);
+    }
+
+    private void reloadAll(List<ListClientSimulation.Proxy> fleet) {
         for (ListClientSimulation.Proxy proxy : fleet) {
             Config config = ListClientSimulation.config(random.nextLong(), ASK_WITHIN_MS, false);
             simulation.runAfter(random.nextInt(SIGNAL_SPREAD_MS), () -> proxy.reload(config, NEW_ADDRESS, withDeadline));
         }
-        while (simulation.nowMs() < END_MS && receivedAfterMs(fleet).size() < proxies) {
-            simulation.runUntil(simulation.nowMs() + 100);
+    }
+
+    private void startNewProcesses(List<ListClientSimulation.Proxy> fleet) {
+        for (int i = 0; i < proxies; i++) {
+            Config config = ListClientSimulation.config(random.nextLong(), ASK_WITHIN_MS, false);
+            simulation.runAfter(random.nextInt(SIGNAL_SPREAD_MS), () -> {
+                ListClientSimulation.Proxy proxy = simulation.new Proxy(config);
+                fleet.add(proxy);
+                if (withDeadline) {
+                    simulation.runAfter(LIST_WAIT_MS, proxy::becomeReady);
+                }
+            });
         }
-        report(receivedAfterMs(fleet));
-        simulation.close();
     }
 
     /** Returns when the proxies that have a list from the new address got it, after the signal, in order. */
     private List<Long> receivedAfterMs(List<ListClientSimulation.Proxy> fleet) {
-        return fleet.stream().map(proxy -> proxy.firstFullListAfterMs(SIGNAL_MS)).filter(atMs -> atMs != Long.MAX_VALUE)
+        return fleet.stream()
+                .map(proxy -> upgrade ? proxy.firstListAfterMs(SIGNAL_MS) : proxy.firstFullListAfterMs(SIGNAL_MS)).filter(atMs -> atMs != Long.MAX_VALUE)
                 .map(atMs -> atMs - SIGNAL_MS).sorted().toList();
     }
 
@@ -88,9 +120,10 @@
     }
 
     private void onCall(ListClientSimulation.Call call) {
-        boolean watchGoesOn = call.uri.contains("from=");
-        if (watchGoesOn || !call.address.equals(NEW_ADDRESS)) {
-            call.respondAfter(call.holdMs() + REJECTION_MS, call.address.equals(NEW_ADDRESS) ? NEW_VERSION : OLD_VERSION);
+        boolean watchGoesOn = call.uri.contains("from=") && !(upgrade && call.uri.contains(NO_WAIT));
+        boolean isNewAddress = upgrade || call.address.equals(NEW_ADDRESS);
+        if (watchGoesOn || !isNewAddress) {
+            call.respondAfter(call.holdMs() + REJECTION_MS, isNewAddress ? NEW_VERSION : OLD_VERSION);
             return;
         }
         callTimesMs.add(simulation.nowMs());
