Move calls to discovery with their hedge calls into a class of their own

Change: its inner class HedgedCall is HedgedListCall now, with what it needs of its client as an interface. No change of behaviour: the texts of the log, timers and draws of random numbers are the same.

Measured: DiscoveryClientTest, DiscoveryOutageTest, ReadyDeadlineTest, ReloadDeadlineTest, ListCallTimingTest, ReconfigurationTest and ListHandoverTest pass.

--- a/proxy/src/main/java/walkpost/proxy/DiscoveryClient.java
+++ b/proxy/src/main/java/walkpost/proxy/DiscoveryClient.java
@@ -8,7 +8,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFactory;
 import io.netty.channel.EventLoop;
-import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
@@ -37,7 +36,6 @@
         void onListApplied(ListKind kind, InetSocketAddress discovery, long version, List<ServerListEntry> entries);
     }
 
-    private static final String PATH = "/v1/endpoints";
     /**
      * How long a starting proxy waits for its first call before it serves with the list of its previous run. If many proxies start at once,
      * discovery answers them one after the other, and a proxy that waits does not serve its clients.
@@ -57,8 +55,8 @@
     private InetSocketAddress address;
     private boolean watchWanted;
     /** The open call of the watch, and the open call for the full list; null if there is none. */
-    private HedgedCall watchCall;
-    private HedgedCall fullListCall;
+    private HedgedListCall watchCall;
+    private HedgedListCall fullListCall;
     private ListVersion version = ListVersion.NONE;
     private boolean initialWaitOver;
     private boolean hasListFromDiscovery;
@@ -66,6 +64,7 @@
     private final DiscoveryRetryPolicy retryPolicy = new DiscoveryRetryPolicy();
     private final ServerStartTimes startTimes = new ServerStartTimes();
     private final ListDeadlines deadlines = new ListDeadlines();
+    private final CallOwner callOwner = new CallOwner();
 
     DiscoveryClient(EventLoop loop, ChannelFactory<Channel> transport, BalancerDriver balancerDriver, InetSocketAddress address,
             Balancer.Settings settings) {
@@ -156,7 +155,7 @@
             watchCall = null;
         } else if (on && watchCall == null) {
             // The first call does not wait for changes, so that changes missed so far, or the fact that there are none, arrive at once.
-            watchCall = new HedgedCall(true, 0);
+            watchCall = startCall(true, 0);
         }
     }
 
@@ -206,10 +205,10 @@
         if (fullListCall != null) {
             fullListCall.end();
         }
-        fullListCall = new HedgedCall(false, 0);
+        fullListCall = startCall(false, 0);
     }
 
-    private void onCallFailed(HedgedCall call, CallFailure failure) {
+    private void onCallFailed(HedgedListCall call, CallFailure failure) {
         initialWaitOver = true;
         boolean watching = call == watchCall;
         if (watching) {
@@ -230,7 +229,7 @@
      * @param atCallStart the version that was current when the request was sent
      * @param tookMs the time from the start of the call to the response
      */
-    private void onListReceived(HedgedCall call, ListVersion atCallStart, JsonNode list, long tookMs) {
+    private void onListReceived(HedgedListCall call, ListVersion atCallStart, JsonNode list, long tookMs) {
         initialWaitOver = true;
         retryPolicy.reset();
         long number = list.path("version").asLong();
@@ -251,7 +250,7 @@
             if (verdict == Verdict.OVERTAKEN) {
                 fetchFullList();
             }
-        } else if (changed || tookMs >= call.schedule.waitMs() / 2 && verdict == Verdict.TAKE) {
+        } else if (changed || tookMs >= call.waitMs() / 2 && verdict == Verdict.TAKE) {
             // The next call starts before the changes are applied, because a watch counts as ended 200 ms after its last response.
             continueWatch(call);
         } else {
@@ -267,11 +266,11 @@
     }
 
     /** Starts the next call of the watch, unless the watch was closed or replaced meanwhile. */
-    private void continueWatch(HedgedCall answeredCall) {
+    private void continueWatch(HedgedListCall answeredCall) {
         if (watchCall == answeredCall) {
             // A call for the full list is answered at once, so it does not wait.
-            watchCall = new HedgedCall(true,
-                    version.hasList() ? timing.randomWaitMs(answeredCall.schedule.waitMs() == 0, random.nextDouble()) : 0);
+            watchCall = startCall(true,
+                    version.hasList() ? timing.randomWaitMs(answeredCall.waitMs() == 0, random.nextDouble()) : 0);
         }
     }
 
@@ -311,110 +310,40 @@
                 entry.cell(), startTimes.onProxyClockUs(entry.id(), entry.startedMs(), nowUs), entry.weight()), entry.address());
     }
 
-    /** One call to discovery with its parallel hedge calls; the first valid response ends all of them. */
-    private final class HedgedCall {
-        private final boolean watching;
-        private final ListCallTiming.CallSchedule schedule;
-        private final long startedNs = loop.ticker().nanoTime();
-        private final List<Runnable> requestEnders = new ArrayList<>(1);
-        private final List<Future<?>> timers = new ArrayList<>(1);
-        private int openRequests;
-        /** The number of requests of this call that this machine could not make, and the time of the first. */
-        private int localFailures;
-        private long firstLocalFailureNs;
-        /** The number of failed hedge requests that were repeated. */
-        private int hedgeRetries;
-        private boolean ended;
-
-        HedgedCall(boolean watching, long waitMs) {
-            this.watching = watching;
-            schedule = timing.schedule(waitMs);
-            schedule.hedgeAfterMs().forEach(afterMs -> runAfter(afterMs, this::hedge));
-            // If discovery is cut off and silent, or its response never ends, TCP alone would never report it.
-            runAfter(schedule.timeoutMs(), () -> fail(CallFailure.UNREACHABLE, "no response within " + schedule.timeoutMs() + " ms"));
-            sendRequest(waitMs);
-        }
-
-        private void hedge() {
-            log.warn("asked_again", "after_ms", ageMs(), "waiting_ms", schedule.waitMs());
-            sendRequest(0);
-        }
-
-        /** Sends a hedge call if this call may not be answered before a deadline that is {@code leftMs} ahead. */
-        void hedgeBeforeDeadline(long leftMs) {
-            if (timing.needsDeadlineHedge(schedule, ageMs(), leftMs)) {
-                hedge();
-            }
-        }
-
-        private long ageMs() {
-            return TimeUnit.NANOSECONDS.toMillis(loop.ticker().nanoTime() - startedNs);
-        }
+    private HedgedListCall startCall(boolean watching, long waitMs) {
+        return new HedgedListCall(loop, log, callOwner, timing, watching, waitMs).start();
+    }
 
-        private void runAfter(long delayMs, Runnable action) {
-            timers.add(loop.schedule(action, delayMs, TimeUnit.MILLISECONDS));
+    /** Sends the requests of calls, and takes their results. */
+    private final class CallOwner implements HedgedListCall.Owner {
+        @Override
+        public Runnable send(String uri, ListRequest.Callback callback) {
+            return requestFactory.send(address, uri, timing.connectTimeoutMs(), callback);
         }
 
-        private void sendRequest(long waitMs) {
-            boolean isHedge = openRequests++ > 0;
-            ListVersion atCallStart = version;
-            boolean changesOnly = watching && atCallStart.hasList();
-            String uri = changesOnly ? PATH + "?from=" + atCallStart.number() + "&hold_ms=" + waitMs : PATH;
-            requestEnders.add(requestFactory.send(address, uri, timing.connectTimeoutMs(), new ListRequest.Callback() {
-                @Override
-                public void received(JsonNode list) {
-                    if (!changesOnly && !list.path("full").asBoolean()) {
-                        failed(CallFailure.REJECTED, "the response contains changes, but the full list was requested");
-                    } else if (!ended) {
-                        end();
-                        onListReceived(HedgedCall.this, atCallStart, list, ageMs());
-                    }
-                }
-
-                @Override
-                public void failed(CallFailure failure, String reason) {
-                    onRequestFailed(failure, reason, isHedge, waitMs);
-                }
-            }));
+        @Override
+        public ListVersion version() {
+            return version;
         }
 
-        /**
-         * Handles a failed request. The call fails only if no other request is open. A failed hedge is repeated, because the first request,
-         * which is overdue by then, is probably silent.
-         */
-        private void onRequestFailed(CallFailure failure, String reason, boolean isHedge, long waitMs) {
-            openRequests--;
-            long retryMs = failure == CallFailure.LOCAL ? localRetryMs() : DiscoveryRetryPolicy.USE_BACK_OFF;
-            if (retryMs != DiscoveryRetryPolicy.USE_BACK_OFF) {
-                log.warn("call_not_made", "reason", reason, "again_in_ms", retryMs);
-                runAfter(retryMs, () -> sendRequest(waitMs));
-            } else if (openRequests == 0) {
-                fail(failure, reason);
-            } else if (isHedge) {
-                long leftUs = deadlines.leftUs(balancerDriver.nowUs());
-                runAfter(timing.hedgeRetryMs(hedgeRetries++, random.nextDouble(), leftUs), () -> sendRequest(0));
-            }
+        @Override
+        public long deadlineLeftUs() {
+            return deadlines.leftUs(balancerDriver.nowUs());
         }
 
-        private long localRetryMs() {
-            long nowNs = loop.ticker().nanoTime();
-            firstLocalFailureNs = localFailures == 0 ? nowNs : firstLocalFailureNs;
-            return DiscoveryRetryPolicy.localRetryMs(localFailures++, TimeUnit.NANOSECONDS.toMillis(nowNs - firstLocalFailureNs));
+        @Override
+        public double nextRandom() {
+            return random.nextDouble();
         }
 
-        private void fail(CallFailure failure, String reason) {
-            if (!ended) {
-                end();
-                log.warn("call_failed", "kind", failure, "reason", reason, "version", version.number());
-                onCallFailed(this, failure);
-            }
+        @Override
+        public void onListReceived(HedgedListCall call, ListVersion atCallStart, JsonNode list, long tookMs) {
+            DiscoveryClient.this.onListReceived(call, atCallStart, list, tookMs);
         }
 
-        /** Ends all requests and timers of this call; no result is delivered after that. */
-        void end() {
-            ended = true;
-            timers.forEach(timer -> timer.cancel(false));
-            requestEnders.forEach(Runnable::run);
+        @Override
+        public void onCallFailed(HedgedListCall call, CallFailure failure) {
+            DiscoveryClient.this.onCallFailed(call, failure);
         }
     }
 }
