Let a server whose exclusion has just ended be cold for the new process of an upgrade too

The process that gets `include` knows; a process that starts within the cold time after it took the server for warm, as only exclusions in force stood in the shared directory.

Change: the stored list has the times at which exclusions ended, on the machine's monotonic clock. A starting process excludes and includes those within the cold time of its settings, so that they begin cold with it, and hands the times on.

--- a/proxy/src/main/java/walkpost/proxy/ExcludedServers.java
+++ b/proxy/src/main/java/walkpost/proxy/ExcludedServers.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 
 /**
  * The excluded servers: the union of the exclusions of all sources, which are the operator endpoint of this proxy and the fleet. A server
@@ -13,11 +14,17 @@
     private final BalancerDriver balancerDriver;
     /** The sources that exclude a server, by its id; a server in use has no entry. */
     private final Map<String, Set<ExclusionStore>> sourcesById = new HashMap<>();
+    private Consumer<String> inclusionObserver = id -> { };
 
     ExcludedServers(BalancerDriver balancerDriver) {
         this.balancerDriver = balancerDriver;
     }
 
+    /** Sets who is notified of each server that is in use again, by its id. */
+    void setInclusionObserver(Consumer<String> observer) {
+        inclusionObserver = observer;
+    }
+
     /** Returns whether a server is listed by discovery or excluded, so that operators may name it. */
     boolean isKnown(String id) {
         return balancerDriver.isKnownServer(id);
@@ -42,6 +49,7 @@
         }
         sourcesById.remove(id);
         balancerDriver.includeServer(id);
+        inclusionObserver.accept(id);
         return true;
     }
 }
--- a/proxy/src/main/java/walkpost/proxy/ListHandover.java
+++ b/proxy/src/main/java/walkpost/proxy/ListHandover.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import walkpost.Balancer.BackendState;
 import walkpost.Balancer.ListKind;
 
@@ -37,6 +38,8 @@
     private static final String FILE = "servers";
     private static final String LOCK = "serving";
     private static final long NO_VERSION = -1;
+    /** The number of ended exclusions that are kept; the earliest are dropped first. */
+    private static final int MAX_INCLUSIONS = 1_024;
 
     private final EventLog log = new EventLog("handover");
     private final EventLoop loop;
@@ -53,6 +56,16 @@
 
     /** All servers on the list that this process has, by id. Used on the event loop only. */
     private final Map<String, ServerListEntry> entriesById = new LinkedHashMap<>();
+    /** When the exclusions of servers ended, by id, the earliest first. Used on the event loop only. */
+    private final Map<String, Long> includedAtNs = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+            return size() > MAX_INCLUSIONS;
+        }
+    };
+    private final LongSupplier coldNs;
     /** The latest list that discovery gave this process; null if it gave none. */
     private volatile StoredServerList ownList;
     /** The list that was stored or checked last. Used on the executor's thread only. */
@@ -63,9 +76,11 @@
      * Creates the handover of a process that starts.
      *
      * @param directory the directory that all processes of this proxy use; if it can't be written, nothing is handed over
+     * @param coldNs the time after its start at which a server is warm, by the settings in force, in nanoseconds
      */
-    ListHandover(EventLoop loop, Config config, Path directory) {
+    ListHandover(EventLoop loop, Config config, Path directory, LongSupplier coldNs) {
         this.loop = loop;
+        this.coldNs = coldNs;
         proxy = config.name();
         knownVersion = config.lastKnownList() == null ? NO_VERSION : config.lastKnownList().path("version").asLong(NO_VERSION);
         file = new ServerListFile(directory.resolve(FILE), self);
@@ -94,22 +109,32 @@
         return lock != null && lock.isHeldByOther();
     }
 
-    /**
-     * Returns the list that another process has stored, if it replaces the last known list in the configuration.
-     *
-     * @param discovery the address of discovery in the configuration
-     */
-    Optional<StoredServerList> readAtStart(InetSocketAddress discovery) {
+    /** Returns the list that another process has stored; empty if there is none. */
+    Optional<StoredServerList> readAtStart() {
         try {
             file.deleteUnfinished();
         } catch (IOException | DirectoryIteratorException e) {
             log.warn("unfinished_file_not_deleted", "reason", e);
         }
+        return reader.readNew();
+    }
+
+    /**
+     * Returns whether a stored list replaces the last known list in the configuration.
+     *
+     * @param discovery the address of discovery in the configuration
+     */
+    boolean replacesLastKnownList(StoredServerList stored, InetSocketAddress discovery) {
         boolean otherServes = isOtherProcessServing();
-        Optional<StoredServerList> stored = reader.readNew().filter(list -> list.replaces(knownVersion, discovery, otherServes));
-        stored.ifPresent(list -> log.info("list_taken_over", "version", list.version(), "servers", list.entries().size(), "other_process",
-                otherServes ? "serving" : "not serving"));
-        return stored;
+        boolean replaces = stored.replaces(knownVersion, discovery, otherServes);
+        log.info(replaces ? "list_taken_over" : "list_too_old", "version", stored.version(), "known", knownVersion, "servers",
+                stored.entries().size(), "other_process", otherServes ? "serving" : "not_serving");
+        return replaces;
+    }
+
+    /** Returns the servers that are cold because their exclusion ended shortly before this process started, by the list stored then. */
+    List<String> recentlyIncluded(StoredServerList storedAtStart) {
+        return storedAtStart.includedWithin(coldNs.getAsLong(), System.nanoTime());
     }
 
     /** Passes each further list that another process stores to a client, until discovery gives this process a list. */
@@ -181,6 +206,21 @@
         if (ownList == null) {
             log.info("first_list", "version", version);
         }
-        ownList = new StoredServerList(proxy, self, discovery, version, knownVersion, List.copyOf(entriesById.values()));
+        setOwnList(discovery, version);
+    }
+
+    /** Takes note that an exclusion has ended: the server is cold for the next process as well. Runs on the event loop. */
+    void onIncluded(String id) {
+        long nowNs = System.nanoTime();
+        includedAtNs.values().removeIf(atNs -> nowNs - atNs >= coldNs.getAsLong());
+        includedAtNs.remove(id);
+        includedAtNs.put(id, nowNs);
+        if (ownList != null) {
+            setOwnList(ownList.discovery(), ownList.version());
+        }
+    }
+
+    private void setOwnList(InetSocketAddress discovery, long version) {
+        ownList = new StoredServerList(proxy, self, discovery, version, knownVersion, List.copyOf(entriesById.values()), includedAtNs);
     }
 }
--- a/proxy/src/main/java/walkpost/proxy/Serve.java
+++ b/proxy/src/main/java/walkpost/proxy/Serve.java
@@ -90,7 +90,15 @@
         shutdown = new GracefulShutdown(clock, loop, frontend, balancerDriver.loopMonitor(), sharesListener(), config.name());
         excludedServers = new ExcludedServers(balancerDriver);
         exclusions = new ExclusionStore(loop, excludedServers, environment.tempDir().resolve(EXCLUDED), "operators");
-        handover = sharesListener() ? new ListHandover(loop, config, environment.tempDir()) : null;
+        handover = sharesListener() ? openHandover() : null;
+    }
+
+    private ListHandover openHandover() {
+        var opened = new ListHandover(loop, config, environment.tempDir(),
+                () -> TimeUnit.MICROSECONDS.toNanos(config.settings().rules().coldUs()));
+        discovery.setListObserver(opened);
+        excludedServers.setInclusionObserver(opened::onIncluded);
+        return opened;
     }
 
     /** Returns the ids that must not run twice; in an upgrade both processes share them. */
@@ -209,14 +217,25 @@
     }
 
     private void startDiscovery() {
-        Optional<StoredServerList> stored = Optional.empty();
+        Optional<StoredServerList> stored = handover == null ? Optional.empty() : handover.readAtStart();
+        loop.execute(() -> stored.ifPresentOrElse(this::startWith, () -> discovery.start(config.lastKnownList())));
         if (handover != null) {
-            discovery.setListObserver(handover);
-            stored = handover.readAtStart(config.discovery());
             handover.follow(discovery);
         }
-        Runnable start = stored.<Runnable>map(list -> () -> discovery.startWith(list)).orElse(() -> discovery.start(config.lastKnownList()));
-        loop.execute(start);
+    }
+
+    private void startWith(StoredServerList stored) {
+        if (handover.replacesLastKnownList(stored, config.discovery())) {
+            discovery.startWith(stored);
+        } else {
+            discovery.start(config.lastKnownList());
+        }
+        handover.recentlyIncluded(stored).forEach(id -> {
+            // It begins as cold as one whose exclusion ends now.
+            balancerDriver.excludeServer(id);
+            balancerDriver.includeServer(id);
+            handover.onIncluded(id);
+        });
     }
 
     private FleetAccess.ProxyStatus status() {
--- a/proxy/src/main/java/walkpost/proxy/ServerListFile.java
+++ b/proxy/src/main/java/walkpost/proxy/ServerListFile.java
@@ -15,6 +15,8 @@
 import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 import java.util.zip.CRC32;
 
@@ -178,6 +180,11 @@
                 entry.writeTo(json);
             }
             json.writeEndArray();
+            json.writeObjectFieldStart("included_at_ns");
+            for (Map.Entry<String, Long> included : list.includedAtNs().entrySet()) {
+                json.writeNumberField(included.getKey(), included.getValue());
+            }
+            json.writeEndObject();
             json.writeEndObject();
         }
         return body.toByteArray();
@@ -187,8 +194,10 @@
         JsonNode json = Config.JSON.readTree(body);
         InetSocketAddress discovery = Config.parseAddress(json.path("discovery").asText());
         if (discovery == null || !json.path("proxy").isTextual() || !json.path("version").canConvertToLong()
-                || !json.path("replaced_version").canConvertToLong() || !json.path("servers").isArray()) {
-            throw new InvalidListFileException("expected 'proxy', 'discovery', 'version', 'replaced_version' and 'servers'");
+                || !json.path("replaced_version").canConvertToLong() || !json.path("servers").isArray()
+                || !json.path("included_at_ns").isObject()) {
+            throw new InvalidListFileException(
+                    "expected 'proxy', 'discovery', 'version', 'replaced_version', 'servers' and 'included_at_ns'");
         }
         var entries = new ArrayList<ServerListEntry>();
         for (JsonNode server : json.path("servers")) {
@@ -198,7 +207,9 @@
             }
             entries.add(entry);
         }
+        var includedAtNs = new HashMap<String, Long>();
+        json.path("included_at_ns").properties().forEach(included -> includedAtNs.put(included.getKey(), included.getValue().asLong()));
         return new StoredServerList(json.path("proxy").asText(), writer, discovery, json.path("version").asLong(),
-                json.path("replaced_version").asLong(), entries);
+                json.path("replaced_version").asLong(), entries, includedAtNs);
     }
 }
--- a/proxy/src/main/java/walkpost/proxy/StoredServerList.java
+++ b/proxy/src/main/java/walkpost/proxy/StoredServerList.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Map;
 
 /**
  * The full list of servers that one process of a proxy stores for the next one. Immutable.
@@ -13,9 +14,11 @@
  * @param replacedVersion the number of the last known list in the writer's configuration, which this list has replaced; negative if the
  *     configuration had none
  * @param entries all servers on the list
+ * @param includedAtNs when operators ended the exclusion of a server, by its id, on the clock of {@link WriterId}: it was restarted then,
+ *     whether or not the list says so
  */
 record StoredServerList(String proxy, WriterId writer, InetSocketAddress discovery, long version, long replacedVersion,
-        List<ServerListEntry> entries) {
+        List<ServerListEntry> entries, Map<String, Long> includedAtNs) {
     /**
      * Identifies a process by the time of its start.
      *
@@ -34,6 +37,21 @@
 
     StoredServerList {
         entries = List.copyOf(entries);
+        includedAtNs = Map.copyOf(includedAtNs);
+    }
+
+    /**
+     * Returns the ids of the servers whose exclusion ended within a time, because they may still be cold.
+     *
+     * @param nowNs the present time on the clock of {@link WriterId}; an end after it was before the machine was started anew
+     */
+    List<String> includedWithin(long spanNs, long nowNs) {
+        return includedAtNs.entrySet().stream().filter(included -> isWithin(included.getValue(), spanNs, nowNs)).map(Map.Entry::getKey)
+                .sorted().toList();
+    }
+
+    private static boolean isWithin(long atNs, long spanNs, long nowNs) {
+        return nowNs - atNs >= 0 && nowNs - atNs < spanNs;
     }
 
     /**
--- a/proxy/src/test/java/walkpost/proxy/ListHandoverTest.java
+++ b/proxy/src/test/java/walkpost/proxy/ListHandoverTest.java
@@ -158,6 +158,22 @@
         assertThat(requestsOfLeaving).isEmpty();
     }
 
+    /** Guards against a new process that takes a server for warm that was restarted while it was excluded. */
+    @Test
+    void aServerWhoseExclusionHasJustEndedIsColdForTheNextProcessToo() throws Exception {
+        try (var oldSocket = openListener(); var old = startProxy(oldSocket); var newSocket = openListener()) {
+            answer(old.discovery.accept(), 42, true, null);
+            awaitReady(old);
+            assertThat(old.callOperator("exclude s0\n")).startsWith("SUCCESS");
+            assertThat(old.callOperator("include s0\n")).startsWith("SUCCESS");
+            awaitStored("included_at_ns\":{\"s0\"");
+            try (var next = startProxy(newSocket)) {
+                assertThat(next.nextEvent(Balancer.Excluded.class).backend()).isEqualTo("s0");
+                assertThat(next.nextEvent(Balancer.Included.class).backend()).isEqualTo("s0");
+            }
+        }
+    }
+
     private static ServerSocketChannel openListener() throws IOException {
         return ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
     }
@@ -178,8 +194,12 @@
 
     /** Waits until the old process has stored a list. */
     private void awaitStored(long version) throws IOException {
+        awaitStored("\"version\":" + version);
+    }
+
+    private void awaitStored(String text) throws IOException {
         Path file = tempDir.resolve("servers");
-        while (!Files.exists(file) || !Files.readString(file).contains("\"version\":" + version)) {
+        while (!Files.exists(file) || !Files.readString(file).contains(text)) {
             Thread.onSpinWait();
         }
     }
--- a/proxy/src/test/java/walkpost/proxy/ServerListFileTest.java
+++ b/proxy/src/test/java/walkpost/proxy/ServerListFileTest.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -38,7 +39,8 @@
     }
 
     private static StoredServerList list(WriterId writer, long version, String... ids) {
-        return new StoredServerList("n1", writer, DISCOVERY, version, 41, Arrays.stream(ids).map(ServerListFileTest::entry).toList());
+        return new StoredServerList("n1", writer, DISCOVERY, version, 41, Arrays.stream(ids).map(ServerListFileTest::entry).toList(),
+                Map.of("s-1", 900L, "s-9", 500L));
     }
 
     private static ServerListEntry entry(String id) {
@@ -48,7 +50,7 @@
     @Test
     void readsWhatWasWritten() throws IOException {
         var incomplete = new ServerListEntry("s-ü \"", new InetSocketAddress("::1", 9), BackendState.READY, null, null, 0, 1, 0);
-        var list = new StoredServerList("n1", EARLIER, DISCOVERY, -1, -1, List.of(entry("s-1"), incomplete));
+        var list = new StoredServerList("n1", EARLIER, DISCOVERY, -1, -1, List.of(entry("s-1"), incomplete), Map.of());
         ServerListFile.Header header = file(EARLIER).write(list);
         assertThat(file(LATER).read()).contains(list);
         assertThat(file(LATER).readHeader()).contains(header);
@@ -97,7 +99,7 @@
         for (int i = 0; i < 9; i++) {
             entries.add(entry("s".repeat(1_000_000) + i));
         }
-        var tooLong = new StoredServerList("n1", EARLIER, DISCOVERY, 43, 41, entries);
+        var tooLong = new StoredServerList("n1", EARLIER, DISCOVERY, 43, 41, entries, Map.of());
         assertThatThrownBy(() -> file(EARLIER).write(tooLong)).hasMessageContaining("expected up to 8388608");
         assertThat(path()).doesNotExist();
     }
@@ -175,6 +177,15 @@
         assertThat(file(LATER).read()).contains(list(EARLIER, 3, "s-1"));
     }
 
+    @Test
+    void knowsWhichServersWereIncludedWithinATime() {
+        StoredServerList list = list(EARLIER, 42, "s-1");
+        assertThat(list.includedWithin(200, 1_000)).containsExactly("s-1");
+        assertThat(list.includedWithin(600, 1_000)).containsExactly("s-1", "s-9");
+        assertThat(list.includedWithin(100, 1_000)).isEmpty();
+        assertThat(list.includedWithin(600, 700)).as("the machine was restarted since").containsExactly("s-9");
+    }
+
     /** The stored list is compared with the last known one of the configuration, whose numbers may be another discovery's. */
     @ParameterizedTest
     @CsvSource({
@@ -191,7 +202,7 @@
     })
     void knowsWhetherItReplacesTheLastKnownList(long version, long replaced, long known, boolean sameDiscovery, boolean writerServes,
             boolean replaces) {
-        var list = new StoredServerList("n1", EARLIER, DISCOVERY, version, replaced, List.of());
+        var list = new StoredServerList("n1", EARLIER, DISCOVERY, version, replaced, List.of(), Map.of());
         InetSocketAddress configured = sameDiscovery ? DISCOVERY : new InetSocketAddress("127.0.0.1", 1);
         assertThat(list.replaces(known, configured, writerServes)).isEqualTo(replaces);
     }
