Test handovers without a directory, to a third process and across a change of discovery

Need: the crossings of an upgrade that the other tests leave out: no directory that can be written, a list of another address of discovery (the version counts for its own alone), a third process beside the two, a restarted discovery with lower numbers.

--- a/proxy/src/test/java/walkpost/proxy/ListHandoverTest.java
+++ b/proxy/src/test/java/walkpost/proxy/ListHandoverTest.java
@@ -158,6 +158,52 @@
         assertThat(requestsOfLeaving).isEmpty();
     }
 
+    /** Without a directory that can be written nothing is handed over, and the proxy serves all the same. */
+    @Test
+    void servesWithoutADirectory() throws Exception {
+        try (var socket = openListener(); var proxy = ProxyFixture.withInheritedListener(socket, null, tempDir.resolve("missing"), staying)) {
+            proxy.discovery.answerAll(FakeServer.response("503 Service Unavailable", "crowded"));
+            awaitReady(proxy);
+            sendRequests(proxy);
+        }
+    }
+
+    /** A signal to reload may come before the process has a list: the new discovery numbers its lists by itself. */
+    @Test
+    void asksANewDiscoveryForTheFullListAfterAListOfAnotherProcessWasAdopted() throws Exception {
+        try (var oldSocket = openListener(); var old = startProxy(oldSocket); var newSocket = openListener()) {
+            answer(old.discovery.accept(), 42, true, Change.DRAINING);
+            awaitStored(42);
+            try (var next = startProxy(newSocket)) {
+                // The discovery of the new process has another address, as after a signal.
+                assertThat(next.discovery.accept().read().first()).isEqualTo("GET /v1/endpoints HTTP/1.1");
+            }
+        }
+    }
+
+    /** A third process may start while the second one shuts down, and follows the second one's list. */
+    @Test
+    void theThirdProcessTakesOverFromTheSecond() throws Exception {
+        try (var socket = openListener(); var old = startProxy(socket); var secondSocket = openListener(); var thirdSocket = openListener()) {
+            answer(old.discovery.accept(), 42, true, null);
+            awaitStored(42);
+            RawConnection watch = old.discovery.accept();
+            try (var second = startProxy(secondSocket)) {
+                answer(second.discovery.accept(), 43, true, Change.DRAINING);
+                awaitStored(43);
+                // The first process is late, and no longer counts.
+                answer(watch, 42, false, null);
+                try (var third = startProxy(thirdSocket)) {
+                    cause(Trouble.REJECTED, third.discovery);
+                    third.advanceClock(LIST_WAIT);
+                    awaitReady(third);
+                    sendRequests(third);
+                }
+            }
+        }
+        assertThat(requestsOfLeaving).isEmpty();
+    }
+
     /** Guards against a new process that takes a server for warm that was restarted while it was excluded. */
     @Test
     void aServerWhoseExclusionHasJustEndedIsColdForTheNextProcessToo() throws Exception {
--- a/proxy/src/test/java/walkpost/proxy/ListVersionTest.java
+++ b/proxy/src/test/java/walkpost/proxy/ListVersionTest.java
@@ -29,6 +29,17 @@
         return new ListVersion(Integer.parseInt(parts[0]), Long.parseLong(parts[1]));
     }
 
+    /** A lower number shows that discovery has restarted, so that responses to calls from before must not be compared with it. */
+    @Test
+    void startsANewEpochIfTheListOfAnotherProcessHasALowerNumber() {
+        var current = new ListVersion(2, 41);
+        assertThat(current.adopt(41)).isEqualTo(current);
+        assertThat(current.adopt(43)).isEqualTo(new ListVersion(2, 43));
+        assertThat(current.adopt(3)).isEqualTo(new ListVersion(3, 3));
+        assertThat(current.adopt(-1)).isEqualTo(new ListVersion(3, -1));
+        assertThat(new ListVersion(0, -1).adopt(3)).isEqualTo(new ListVersion(0, 3));
+    }
+
     @Test
     void startsANewEpochAfterARestartOfDiscovery() {
         var current = new ListVersion(2, 41);
--- a/proxy/src/test/java/walkpost/proxy/ReloadHerd.java
+++ b/proxy/src/test/java/walkpost/proxy/ReloadHerd.java
@@ -105,7 +105,8 @@
     /** Returns when the proxies that have a list from the new address got it, after the signal, in order. */
     private List<Long> receivedAfterMs(List<ListClientSimulation.Proxy> fleet) {
         return fleet.stream()
-                .map(proxy -> upgrade ? proxy.firstListAfterMs(SIGNAL_MS) : proxy.firstFullListAfterMs(SIGNAL_MS)).filter(atMs -> atMs != Long.MAX_VALUE)
+                .map(proxy -> upgrade ? proxy.firstListAfterMs(SIGNAL_MS) : proxy.firstFullListAfterMs(SIGNAL_MS))
+                .filter(atMs -> atMs != Long.MAX_VALUE)
                 .map(atMs -> atMs - SIGNAL_MS).sorted().toList();
     }
 
