Keep an open call for the full list valid across adopted lists, and train handovers into the archive

Need, found by reading: a list adopted from a process that follows another address of discovery began a new epoch each time, so that bursts of changes there could have each answer of this process's own discovery dropped as overtaken. Only a version that is held begins a new epoch now. Starts of servers on a list that is dropped are observed again, as before the entries were typed.

--- a/proxy/src/main/java/walkpost/proxy/DiscoveryClient.java
+++ b/proxy/src/main/java/walkpost/proxy/DiscoveryClient.java
@@ -142,7 +142,12 @@
         if (hasListFromDiscovery) {
             return;
         }
-        version = stored.discovery().equals(address) ? version.adopt(stored.version()) : version.startEpoch();
+        if (stored.discovery().equals(address)) {
+            version = version.adopt(stored.version());
+        } else if (version.hasList()) {
+            // The numbers of another discovery say nothing at this address. A call for the full list that is open stays valid.
+            version = version.startEpoch();
+        }
         log.info("list_adopted", "version", stored.version(), "servers", stored.entries().size());
         apply(ListKind.CACHED, stored.entries());
     }
@@ -262,6 +267,8 @@
             ListKind kind = full ? ListKind.FULL : ListKind.DELTA;
             apply(kind, entries);
             startTimes.listApplied(balancerDriver.nowUs());
+        } else {
+            observeStarts(entries);
         }
     }
 
@@ -299,12 +306,17 @@
 
     /** Passes a list on to the balancer, with the start times of its servers on the proxy's clock. */
     private void apply(ListKind kind, List<ServerListEntry> entries) {
+        observeStarts(entries);
         long nowUs = balancerDriver.nowUs();
-        entries.forEach(entry -> startTimes.observeStart(entry.startedMs(), nowUs));
         balancerDriver.updateServerList(kind, entries.stream().map(entry -> onProxyClock(entry, nowUs)).toList());
         listObserver.onListApplied(kind, address, version.number(), entries);
     }
 
+    private void observeStarts(List<ServerListEntry> entries) {
+        long nowUs = balancerDriver.nowUs();
+        entries.forEach(entry -> startTimes.observeStart(entry.startedMs(), nowUs));
+    }
+
     private ServerConnections.ListedServer onProxyClock(ServerListEntry entry, long nowUs) {
         return new ServerConnections.ListedServer(new Balancer.Backend(entry.id(), entry.state(), entry.kind(), entry.zone(),
                 entry.cell(), startTimes.onProxyClockUs(entry.id(), entry.startedMs(), nowUs), entry.weight()), entry.address());
--- a/proxy/src/main/java/walkpost/proxy/ListHandover.java
+++ b/proxy/src/main/java/walkpost/proxy/ListHandover.java
@@ -104,6 +104,30 @@
         }
     }
 
+    /**
+     * Stores a list and reads it, so that a class data archive that is being recorded has the classes for it.
+     *
+     * @param directory a directory for the files, which stay there
+     */
+    static void trainClassDataArchive(Config config, Path directory) {
+        var process = new StoredServerList.WriterId(0);
+        var nextProcess = new StoredServerList.WriterId(1);
+        var file = new ServerListFile(directory.resolve(FILE), process);
+        var server = new ServerListEntry("training", config.discovery(), BackendState.READY, "", "", 0, 1, 0);
+        var list = new StoredServerList(config.name(), process, config.discovery(), 0, NO_VERSION, List.of(server), Map.of("training", 0L));
+        new StoredListWriter(file, process, System::nanoTime).store(list);
+        new StoredListReader(file, config.name(), nextProcess).readNew();
+        try {
+            file.deleteUnfinished();
+            ServingLock lock = ServingLock.open(directory.resolve(LOCK));
+            if (!lock.isHeldByOther() && lock.tryHold()) {
+                lock.release();
+            }
+        } catch (IOException e) {
+            new EventLog("handover").warn("training_failed", "reason", e);
+        }
+    }
+
     /** Returns whether another process of this proxy is ready for clients and has not begun its shutdown. */
     boolean isOtherProcessServing() {
         return lock != null && lock.isHeldByOther();
--- a/proxy/src/main/java/walkpost/proxy/Serve.java
+++ b/proxy/src/main/java/walkpost/proxy/Serve.java
@@ -9,6 +9,7 @@
 import io.netty.util.internal.PlatformDependent;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Optional;
@@ -172,11 +173,27 @@
             serve.warmUp(Warmup.MAX_REQUESTS);
             serve.listen();
             serve.stop();
+            trainUpgrade(config);
         } catch (Config.InvalidConfigException e) {
             exit(e);
         }
     }
 
+    private static void trainUpgrade(Config config) {
+        try {
+            Path directory = Files.createTempDirectory("training");
+            ListHandover.trainClassDataArchive(config, directory);
+            try (var files = Files.newDirectoryStream(directory)) {
+                for (Path file : files) {
+                    Files.delete(file);
+                }
+            }
+            Files.delete(directory);
+        } catch (IOException e) {
+            new EventLog("serve").warn("upgrade_not_trained", "reason", e);
+        }
+    }
+
     private static Path configFile() throws Config.InvalidConfigException {
         String file = System.getenv("PROXY_CONFIG");
         if (file == null || file.isEmpty()) {
