--- a/proxy/src/main/java/walkpost/proxy/ListHandover.java
+++ b/proxy/src/main/java/walkpost/proxy/ListHandover.java
@@ -11,7 +11,9 @@
 import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
 import walkpost.Balancer.BackendState;
 import walkpost.Balancer.ListKind;
@@ -22,7 +24,7 @@
  *
  * <p>A process stores the lists that discovery gives it from its readiness on, and goes on during its shutdown until a later process has
  * stored one. A process that starts reads the file, and follows it until discovery has given it a list. From a list at one process until it
- * is in use at the other it takes {@link #STORE_INTERVAL_MS} and {@link #FOLLOW_INTERVAL_MS} at most, besides the work itself; a drain has
+ * is in use at the other it takes {@link #STORE_DELAY_MS} and {@link #FOLLOW_INTERVAL_MS} at most, besides the work itself; a drain has
  * to be obeyed within 300 ms.
  *
  * <p>Files are read and written on a thread of its own. {@link #onListApplied} and {@link #onReady} run on the event loop, all other
@@ -31,10 +33,10 @@
 final class ListHandover implements DiscoveryClient.ListObserver {
     /** How often a process without a list from discovery looks for a new list in the file. */
     private static final long FOLLOW_INTERVAL_MS = 50;
-    /** How often a process stores its list if it is a new one, which bounds what bursts of changes cost. */
-    private static final long STORE_INTERVAL_MS = 100;
-    /** How often a process makes sure that the file still holds its list, in store intervals. */
-    private static final int STORE_INTERVALS_PER_CHECK = 10;
+    /** How long after a change the list is stored, together with all changes until then, which bounds what bursts of changes cost. */
+    private static final long STORE_DELAY_MS = 100;
+    /** How often a process makes sure that the file still holds its list. */
+    private static final long CHECK_INTERVAL_MS = 1_000;
     private static final String FILE = "servers";
     private static final String LOCK = "serving";
     private static final long NO_VERSION = -1;
@@ -52,7 +54,8 @@
     private final StoredListWriter writer;
     /** Null if its file can't be opened; no other process is known to serve then. */
     private final ServingLock lock;
-    private final ScheduledExecutorService executor = new ScheduledThreadPoolExecutor(1, ListHandover::newThread);
+    private final ScheduledExecutorService executor = new ScheduledThreadPoolExecutor(1, ListHandover::newThread,
+            new ThreadPoolExecutor.DiscardPolicy());
 
     /** All servers on the list that this process has, by id. Used on the event loop only. */
     private final Map<String, ServerListEntry> entriesById = new LinkedHashMap<>();
@@ -68,9 +71,8 @@
     private final LongSupplier coldNs;
     /** The latest list that discovery gave this process; null if it gave none. */
     private volatile StoredServerList ownList;
-    /** The list that was stored or checked last. Used on the executor's thread only. */
-    private StoredServerList checkedList;
-    private int intervalsSinceCheck;
+    private final AtomicBoolean storePending = new AtomicBoolean();
+    private volatile boolean ready;
 
     /**
      * Creates the handover of a process that starts.
@@ -163,39 +165,44 @@
 
     /** Passes each further list that another process stores to a client, until discovery gives this process a list. */
     void follow(DiscoveryClient client) {
-        repeat(FOLLOW_INTERVAL_MS, () -> {
+        schedule(FOLLOW_INTERVAL_MS, () -> {
             if (ownList == null) {
+                follow(client);
                 reader.readNew().ifPresent(list -> loop.execute(() -> client.adopt(list)));
             }
         });
     }
 
-    /** Repeats a task on the executor; a failure ends this run of it only. */
-    private void repeat(long intervalMs, Runnable task) {
-        executor.scheduleWithFixedDelay(() -> {
+    /** Runs a task on the executor after a delay; a failure ends that run of it only. */
+    private void schedule(long delayMs, Runnable task) {
+        executor.schedule(() -> {
             try {
                 task.run();
             } catch (RuntimeException | OutOfMemoryError e) {
                 log.error("handover_failed", e);
             }
-        }, 0, intervalMs, TimeUnit.MILLISECONDS);
+        }, delayMs, TimeUnit.MILLISECONDS);
     }
 
     /** Shows other processes that this one serves, and stores its lists from now on. */
     void onReady() {
-        repeat(STORE_INTERVAL_MS, this::storeOwnList);
+        ready = true;
+        schedule(0, this::checkRegularly);
     }
 
-    private void storeOwnList() {
+    private void checkRegularly() {
+        schedule(CHECK_INTERVAL_MS, this::checkRegularly);
         if (lock != null) {
             lock.tryHold();
         }
+        storeOwnList();
+    }
+
+    private void storeOwnList() {
+        storePending.set(false);
         StoredServerList list = ownList;
-        intervalsSinceCheck++;
-        if (list != null && (list != checkedList || intervalsSinceCheck >= STORE_INTERVALS_PER_CHECK)) {
+        if (list != null) {
             writer.store(list);
-            checkedList = list;
-            intervalsSinceCheck = 0;
         }
     }
 
@@ -246,5 +253,8 @@
 
     private void setOwnList(InetSocketAddress discovery, long version) {
         ownList = new StoredServerList(proxy, self, discovery, version, knownVersion, List.copyOf(entriesById.values()), includedAtNs);
+        if (ready && storePending.compareAndSet(false, true)) {
+            schedule(STORE_DELAY_MS, this::storeOwnList);
+        }
     }
 }
--- a/proxy/src/main/java/walkpost/proxy/Serve.java
+++ b/proxy/src/main/java/walkpost/proxy/Serve.java
@@ -236,7 +236,7 @@
     private void startDiscovery() {
         Optional<StoredServerList> stored = handover == null ? Optional.empty() : handover.readAtStart();
         loop.execute(() -> stored.ifPresentOrElse(this::startWith, () -> discovery.start(config.lastKnownList())));
-        if (handover != null) {
+        if (stored.isPresent() || handover != null && handover.isOtherProcessServing()) {
             handover.follow(discovery);
         }
     }
